jobs: keep copies of unrecorded urgent jobs at other instances

Cause: with the log down, an owner confirms urgent jobs once a worker has started them. What the job was is known to that owner alone. If it is killed and the task leases lapse before the takeover ends, the next owner finds an ended attempt of an unknown job and records it as failed.

Change: before such a job is confirmed to its caller, its record is copied to the other instances of the failure domain (rpc KeepJob); without a single copy the outcome is unknown. A new owner takes the copies over like recorded jobs, and instances hand late copies to it. A record that is read drops the copy.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -77,6 +77,11 @@
 	return s.instance.runner.Get(ctx, req), nil
 }
 
+// KeepJob holds a copy of an urgent job for the next owner.
+func (s *server) KeepJob(ctx context.Context, req *pb.KeepJobRequest) (*pb.KeepJobReply, error) {
+	return &pb.KeepJobReply{}, s.instance.runner.KeepJob(ctx, req.GetJob())
+}
+
 // ReportLatency takes digests of requests.
 func (s *server) ReportLatency(ctx context.Context, req *pb.ReportLatencyRequest) (*pb.ReportLatencyReply, error) {
 	s.instance.runner.ReportLatency(ctx, req)
--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -122,6 +122,9 @@
 	// forgottenMS is the newest submit time among finished jobs that were
 	// dropped; ids that are not newer can't be accepted again.
 	forgottenMS int64
+	// kept holds copies of urgent jobs that an owner started while the stream
+	// could not be read, until their records are seen.
+	kept map[string]*pb.Job
 
 	// The rest is the owner's state.
 	active     bool
@@ -177,7 +180,7 @@
 
 // NewCore returns a core that knows no jobs.
 func NewCore(o CoreOptions) *Core {
-	c := &Core{opts: resolve(o), recorded: make(map[string]*pb.Job)}
+	c := &Core{opts: resolve(o), recorded: make(map[string]*pb.Job), kept: make(map[string]*pb.Job)}
 	c.reset()
 	return c
 }
--- a/internal/jobs/forward.go
+++ b/internal/jobs/forward.go
@@ -95,7 +95,11 @@
 	v := r.o.Loop.View()
 	p := jobPartition(v)
 	if domain == v.Domain && p != nil && p.Own {
-		return r.reply(r.local(ctx, step, id, to), step, id)
+		reply := r.local(ctx, step, id, to)
+		if reply.unrecorded && reply.Failure == nil {
+			reply.Failure = r.copyJob(ctx, reply.Job)
+		}
+		return r.reply(reply, step, id)
 	}
 	address, failure := destination(v, domain, step)
 	if failure == nil && hops >= maxHops {
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -205,6 +205,7 @@
 func (c *Core) remember(rec *pb.Job) {
 	old := c.recorded[rec.Id]
 	c.recorded[rec.Id] = rec
+	delete(c.kept, rec.Id)
 	if !terminal(rec.State) || (old != nil && terminal(old.State)) {
 		return
 	}
--- a/internal/jobs/recovery.go
+++ b/internal/jobs/recovery.go
@@ -41,6 +41,9 @@
 		}
 		c.enqueue(j, false)
 	}
+	for _, id := range sortedKeys(c.kept) {
+		c.adoptKept(c.kept[id], now)
+	}
 	c.workerEvent("", "jobs_taken_over", fmt.Sprintf("epoch %d, %d jobs", c.sit.Epoch, len(c.jobs)))
 }
 
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -35,6 +35,8 @@
 	metrics *metrics
 	clients map[string]client
 	waiters map[string][]*waiter
+	// offeredKept is when copies of unrecorded jobs were last handed to the owner.
+	offeredKept time.Time
 	// skipPermission leaves the check before a start out, for the test that
 	// shows what it prevents.
 	skipPermission bool
@@ -83,6 +85,7 @@
 	}
 	r.core.Tick(now)
 	r.flush()
+	r.offerKept(now)
 	r.gauge()
 	r.pruneClients()
 }
@@ -168,7 +171,7 @@
 	kept := list[:0]
 	for _, w := range list {
 		if w.done(a) {
-			w.out <- Reply{Job: a.Job}
+			w.out <- Reply{Job: a.Job, unrecorded: !a.Durable}
 		} else {
 			kept = append(kept, w)
 		}
--- a/internal/jobs/site_test.go
+++ b/internal/jobs/site_test.go
@@ -146,7 +146,10 @@
 
 // takeOver replaces the owner by a new core that has read the whole stream. The
 // calls of the old owner stay under way unless they are bounded in time.
-func (s *fakeSite) takeOver() {
+func (s *fakeSite) takeOver() { s.takeOverWith() }
+
+// takeOverWith is takeOver by an instance that holds copies of unrecorded jobs.
+func (s *fakeSite) takeOverWith(copies ...*pb.Job) {
 	if s.owner != nil {
 		s.owner.SetSituation(Situation{}, s.now)
 	}
@@ -163,6 +166,9 @@
 	s.owner = NewCore(testOptions())
 	s.owner.faults = s.faults
 	s.readStream()
+	for _, job := range copies {
+		s.owner.Keep(job, s.now)
+	}
 	s.situate(true)
 }
 
--- a/internal/jobs/submit.go
+++ b/internal/jobs/submit.go
@@ -25,6 +25,9 @@
 	Failure *errs.Error
 	// Wait says that the job was taken and the caller waits for an Answer.
 	Wait bool
+	// unrecorded says that a worker confirmed the start of a job that is not in
+	// the stream, so that other instances must hold a copy of it.
+	unrecorded bool
 }
 
 const stepSubmit = "submit job"
