leader: wait for the list of candidates, give way to larger machines

Cause: at the first start the group of instances deals its partitions gradually, so the first claimer saw only itself and took rank 0. An owner also dropped out of the list of candidates after the time to live, since it did not renew while it served.

Change: an instance that the list lacks waits 2.5 s longer; each instance stays listed while it owns the jobs; an owner gives way to a listed instance on a machine at least twice as large. The forwarder of the process tests moves to internal/loopback, for the soak to use.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -69,12 +69,15 @@
 	}), qt.IsNil)
 }
 
-func (s *site) start(name string) *testInstance {
+func (s *site) start(name string) *testInstance { return s.startOn(name, 0.2) }
+
+// startOn starts an instance on a machine with a share of a processor.
+func (s *site) startOn(name string, cpuShare float64) *testInstance {
 	s.t.Helper()
 	endpoint := s.store.Endpoint()
 	settings := &pb.SchedulerSettings{
 		Instance: name, Region: "r", FailureDomain: "z", HttpAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0",
-		MetricsAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", CpuShare: 0.2, MemoryMib: 256,
+		MetricsAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", CpuShare: cpuShare, MemoryMib: 256,
 		Store:  &pb.StoreSettings{Address: endpoint.Address()},
 		Bounds: &pb.SiteBounds{LeaseMs: 6000, HarmMs: 4000, StatusS: 120, GraceS: 2},
 	}
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,6 +32,11 @@
 	claimVacancy = 300 * time.Millisecond
 	claimStagger = 400 * time.Millisecond
 	claimSettle  = 600 * time.Millisecond
+	// claimUnlisted covers two renewals of each member, after which the list of
+	// candidates holds all that have started.
+	claimUnlisted = 2500 * time.Millisecond
+	// yieldAfter is above memberTTL, so that the larger instance is alive.
+	yieldAfter = 5 * time.Second
 	// epochBits is the part of an epoch that tells claims of the same
 	// generation apart: two claimers must not share an epoch, since the store
 	// takes the second's appends as repetitions of the first's.
@@ -69,26 +75,36 @@
 func (i *Instance) takePart(stop, work context.Context) {
 	s := i.settings
 	self := leader.Candidate{Instance: s.GetInstance(), Address: i.peerAddress(), CPUMilli: int64(s.GetCpuShare() * 1000)}
-	elector := leader.New(self, leader.Settings{Vacancy: claimVacancy, Stagger: claimStagger, Settle: claimSettle})
+	times := leader.Settings{Vacancy: claimVacancy, Stagger: claimStagger, Settle: claimSettle, Unlisted: claimUnlisted, Yield: yieldAfter}
+	elector := leader.New(self, times)
 	me := member{Instance: self.Instance, Address: self.Address, CPUMilli: self.CPUMilli}.name()
-	var joined time.Time
+	var listed sync.WaitGroup
+	listed.Go(func() { i.stayListed(stop, work, me) })
+	defer listed.Wait()
 	for stop.Err() == nil {
-		if now := time.Now(); now.Sub(joined) >= memberRenewal {
-			if err := i.store.Join(stop, memberGroup, me, memberTTL); err == nil {
-				joined = now
-			}
-		}
 		i.look(stop, elector)
 		if i.config.Load() != nil && elector.Vacant(time.Now()) {
 			candidates := i.candidates(stop)
 			if elector.ShouldClaim(candidates, time.Now()) {
-				i.claim(stop, work)
+				i.claim(stop, work, leader.New(self, times))
 				elector.Claimed(time.Now())
 				continue
 			}
 		}
 		sleep(stop, ownerLook-time.Duration(rand.Int64N(int64(ownerLook/5))))
 	}
+}
+
+// stayListed keeps the instance in the group of candidates until stop ends, also
+// while it is the owner: its rank matters again if its process is restarted.
+func (i *Instance) stayListed(stop, work context.Context, me string) {
+	for stop.Err() == nil {
+		pause := memberRenewal
+		if err := i.store.Join(stop, memberGroup, me, memberTTL); err != nil {
+			pause = ownerLook // counted and logged by observedStore
+		}
+		sleep(stop, pause)
+	}
 	if err := i.store.Leave(work, memberGroup, me); err != nil {
 		i.log.WithField("event", "leave failed").WithError(err).Warn("membership")
 	}
@@ -165,7 +181,7 @@
 }
 
 // claim takes the ownership and runs as the owner until it is lost.
-func (i *Instance) claim(stop, work context.Context) {
+func (i *Instance) claim(stop, work context.Context, elector *leader.Elector) {
 	begun := time.Now()
 	state, err := i.open(stop)
 	if err != nil {
@@ -177,7 +193,7 @@
 	i.log.WithField("event", "claim won").WithField("epoch", state.owner.GetEpoch()).
 		WithField("took_ms", time.Since(begun).Milliseconds()).Info("membership")
 	i.setOwner(state.owner)
-	i.serveOwnership(stop, work, state)
+	i.serveOwnership(stop, work, state, elector)
 }
 
 // stored is the state of the jobs as of a claim.
--- a/internal/daemon/ownership.go
+++ b/internal/daemon/ownership.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"gooseberryreel/internal/errs"
+	"gooseberryreel/internal/leader"
 	"gooseberryreel/internal/pb"
 	"gooseberryreel/internal/scheduler"
 	"gooseberryreel/internal/store"
@@ -25,6 +26,9 @@
 	appendRetry = 40 * time.Millisecond
 	// newerOwnerLooks is the number of renewals for each look for a newer owner.
 	newerOwnerLooks = 3
+	// yieldLooks is the number of renewals for each look for a candidate on a
+	// larger machine.
+	yieldLooks = 5
 	// askEarlierPause is how often an earlier owner is asked whether it still is.
 	askEarlierPause = 300 * time.Millisecond
 	// trimInterval is how often the store may drop superseded job records.
@@ -76,7 +80,7 @@
 }
 
 // serveOwnership runs a term until it is lost or stop ends.
-func (i *Instance) serveOwnership(stop, work context.Context, s *stored) {
+func (i *Instance) serveOwnership(stop, work context.Context, s *stored, elector *leader.Elector) {
 	ctx, cancel := context.WithCancel(work)
 	defer cancel()
 	o := &ownership{
@@ -92,7 +96,7 @@
 		group.Add(1)
 		go func() { defer group.Done(); f() }()
 	}
-	run(func() { o.renew(me) })
+	run(func() { o.renew(me, elector) })
 	run(func() { i.watchWorkers(ctx, o) })
 	run(func() { o.followIntake() })
 	run(func() { o.askEarlier(s.owner) })
@@ -157,7 +161,7 @@
 
 // renew keeps the owner listed, and ends the term when the store has been out
 // of reach for so long that another owner may no longer count on its leases.
-func (o *ownership) renew(me string) {
+func (o *ownership) renew(me string, elector *leader.Elector) {
 	i := o.instance
 	shortest := time.Duration(i.settings.GetStore().GetMinGroupTtlMs()) * time.Millisecond
 	for n := 1; o.ctx.Err() == nil; n++ {
@@ -173,6 +177,10 @@
 			o.lose("there is a newer owner")
 			return
 		}
+		if n%yieldLooks == 0 && elector.ShouldYield(i.candidates(o.ctx), time.Now()) {
+			o.lose("an instance on a larger machine is there")
+			return
+		}
 		sleep(o.ctx, ownerRenewal)
 	}
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -29,14 +29,26 @@
 	// Settle is how long the store must have answered without a gap: after an
 	// outage the owner may be unlisted though it lives.
 	Settle time.Duration
+	// Unlisted is the further delay of an instance that the list of candidates
+	// lacks: at the first start the list is filled only gradually, and without it
+	// the rank is not known.
+	Unlisted time.Duration
+	// Yield is how long a much larger candidate must be listed before an owner
+	// gives way to it.
+	Yield time.Duration
 }
 
+// yieldFactor is how much larger a machine must be for an owner to give way. A
+// change of the owner stops new starts for about a second, so it must pay.
+const yieldFactor = 2
+
 // Elector is the view of one instance.
 type Elector struct {
 	self     Candidate
 	settings Settings
 	vacant   time.Time // since when no owner is listed, zero while one is
 	steady   time.Time // since when the store answers without a gap
+	larger   time.Time // since when a much larger candidate is listed
 }
 
 // New returns an Elector that knows of no owner.
@@ -71,12 +83,28 @@
 		return false
 	}
 	wait := e.settings.Vacancy + time.Duration(Rank(candidates, e.self))*e.settings.Stagger
+	if !slices.Contains(candidates, e.self) {
+		wait += e.settings.Unlisted
+	}
 	return now.Sub(e.vacant) >= wait
 }
 
 // Claimed restarts the wait after a claim that failed.
 func (e *Elector) Claimed(now time.Time) { e.vacant = now }
 
+// ShouldYield reports whether this instance, as the owner, gives way to a
+// candidate on a much larger machine.
+func (e *Elector) ShouldYield(candidates []Candidate, now time.Time) bool {
+	if !slices.ContainsFunc(candidates, func(c Candidate) bool { return c.CPUMilli >= yieldFactor*e.self.CPUMilli }) {
+		e.larger = time.Time{}
+		return false
+	}
+	if e.larger.IsZero() {
+		e.larger = now
+	}
+	return now.Sub(e.larger) >= e.settings.Yield
+}
+
 // Rank returns how many candidates go before self: those on larger machines
 // first, since the owner carries the work of all.
 func Rank(candidates []Candidate, self Candidate) int {
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -8,7 +8,7 @@
 )
 
 var (
-	testSettings = Settings{Vacancy: 300 * time.Millisecond, Stagger: 400 * time.Millisecond, Settle: 600 * time.Millisecond}
+	testSettings = Settings{Vacancy: 300 * time.Millisecond, Stagger: 400 * time.Millisecond, Settle: 600 * time.Millisecond, Unlisted: 2 * time.Second, Yield: 2 * time.Second}
 	small        = Candidate{Instance: "a", Address: "1", CPUMilli: 100}
 	large        = Candidate{Instance: "b", Address: "2", CPUMilli: 800}
 	alike        = Candidate{Instance: "c", Address: "3", CPUMilli: 800}
@@ -61,3 +61,28 @@
 	qt.Assert(t, Rank(all, small), qt.Equals, 2)
 	qt.Assert(t, Rank(nil, small), qt.Equals, 0)
 }
+
+// Guards against an owner on a small machine after the first start, when the
+// list holds only a few of the candidates.
+func TestUnlistedWaits(t *testing.T) {
+	begin := time.Unix(0, 0)
+	e := New(small, testSettings)
+	e.Listed(false, begin)
+	qt.Assert(t, e.ShouldClaim(nil, begin.Add(time.Second)), qt.IsFalse)
+	qt.Assert(t, e.ShouldClaim(nil, begin.Add(2*time.Second)), qt.IsFalse)
+	qt.Assert(t, e.ShouldClaim(nil, begin.Add(2300*time.Millisecond)), qt.IsTrue)
+	qt.Assert(t, e.ShouldClaim([]Candidate{small}, begin.Add(time.Second)), qt.IsTrue)
+}
+
+// Guards against an owner that stays on a small machine, and against one that
+// gives way to a machine that comes and goes.
+func TestShouldYield(t *testing.T) {
+	begin := time.Unix(0, 0)
+	e := New(small, testSettings)
+	all := []Candidate{small, large}
+	qt.Assert(t, e.ShouldYield(all, begin), qt.IsFalse)
+	qt.Assert(t, e.ShouldYield([]Candidate{small}, begin.Add(time.Second)), qt.IsFalse)
+	qt.Assert(t, e.ShouldYield(all, begin.Add(2*time.Second)), qt.IsFalse)
+	qt.Assert(t, e.ShouldYield(all, begin.Add(4*time.Second)), qt.IsTrue)
+	qt.Assert(t, New(large, testSettings).ShouldYield(all, begin.Add(4*time.Second)), qt.IsFalse)
+}
--- /dev/null
+++ b/internal/loopback/link.go
@@ -0,0 +1,218 @@
+// Package loopback forwards TCP connections between processes of a test on one
+// machine and disturbs them from outside: it delays, silences, resets and
+// refuses them.
+package loopback
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// Mode says what a link does with connections and bytes.
+type Mode int
+
+const (
+	Pass Mode = iota
+	// Silent holds all bytes and lets connections open, as a network that
+	// drops packets. What was held is delivered once the link passes again.
+	Silent
+	// Refuse closes all connections and refuses new ones.
+	Refuse
+)
+
+// Link is a loopback TCP forwarder from one process to one server.
+type Link struct {
+	// Address is where the link accepts connections.
+	Address string
+	to      string
+	// rewrite changes the bytes on their way; nil leaves them.
+	rewrite func(data []byte, toServer bool) []byte
+
+	mu       sync.Mutex
+	changed  *sync.Cond
+	mode     Mode
+	delay    time.Duration
+	closed   bool
+	listener net.Listener
+	conns    map[net.Conn]bool
+}
+
+// New opens a link to a server.
+func New(to string, rewrite func([]byte, bool) []byte) (*Link, error) {
+	listener, err := Listen(Host)
+	if err != nil {
+		return nil, err
+	}
+	l := &Link{Address: listener.Addr().String(), to: to, rewrite: rewrite, listener: listener, conns: make(map[net.Conn]bool)}
+	l.changed = sync.NewCond(&l.mu)
+	go l.accept(listener)
+	return l, nil
+}
+
+// Links and processes listen on different loopback addresses. Connections have
+// their local ends at the first, so none can take a port of the second between
+// its choice and the start of the process that is to listen there.
+const (
+	Host        = "127.0.0.1"
+	ProcessHost = "127.0.0.2"
+)
+
+// Listen listens on a free port of five digits, so that the rewriting
+// of addresses in messages keeps their length.
+func Listen(host string) (net.Listener, error) {
+	for {
+		listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+		if err != nil || listener.Addr().(*net.TCPAddr).Port >= 10_000 {
+			return listener, err
+		}
+		defer listener.Close() // held until another port is found
+	}
+}
+
+// Set changes the mode. A relisten on the same port may need a few tries, since
+// the port can be in use as the local end of another connection.
+func (l *Link) Set(mode Mode) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil
+	}
+	l.mode = mode
+	l.changed.Broadcast()
+	if mode == Refuse {
+		_ = l.listener.Close()
+		l.dropLocked()
+		l.listener = nil
+		return nil
+	}
+	var err error
+	for tries := 0; l.listener == nil && tries < 100; tries++ {
+		l.listener, err = net.Listen("tcp", l.Address)
+		if err == nil {
+			go l.accept(l.listener)
+			return nil
+		}
+		l.listener = nil
+		time.Sleep(10 * time.Millisecond)
+	}
+	return err
+}
+
+// SetDelay delays each piece of data.
+func (l *Link) SetDelay(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay = d
+}
+
+// IsSilent reports whether the link holds all bytes.
+func (l *Link) IsSilent() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.mode == Silent
+}
+
+// Close ends the link for good: new connections are refused.
+func (l *Link) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	if l.listener != nil {
+		_ = l.listener.Close()
+		l.listener = nil
+	}
+	l.dropLocked()
+	l.changed.Broadcast()
+}
+
+func (l *Link) dropLocked() {
+	for conn := range l.conns {
+		_ = conn.Close()
+	}
+}
+
+func (l *Link) accept(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go l.forward(conn)
+	}
+}
+
+// pass waits while the link is silent and reports whether it is still open.
+func (l *Link) pass() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for l.mode == Silent && !l.closed {
+		l.changed.Wait()
+	}
+	if l.delay > 0 {
+		d := l.delay
+		l.mu.Unlock()
+		time.Sleep(d)
+		l.mu.Lock()
+	}
+	return !l.closed && l.mode != Refuse
+}
+
+func (l *Link) track(conn net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || l.mode == Refuse {
+		_ = conn.Close()
+		return false
+	}
+	l.conns[conn] = true
+	return true
+}
+
+func (l *Link) untrack(conn net.Conn) {
+	_ = conn.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, conn)
+}
+
+func (l *Link) forward(client net.Conn) {
+	if !l.track(client) {
+		return
+	}
+	defer l.untrack(client)
+	if !l.pass() {
+		return
+	}
+	server, err := net.Dial("tcp", l.to)
+	if err != nil || !l.track(server) {
+		return
+	}
+	defer l.untrack(server)
+	ended := make(chan struct{}, 2)
+	go func() { l.copy(server, client, true); ended <- struct{}{} }()
+	go func() { l.copy(client, server, false); ended <- struct{}{} }()
+	<-ended
+}
+
+func (l *Link) copy(to, from net.Conn, toServer bool) {
+	buffer := make([]byte, 64<<10)
+	for {
+		n, err := from.Read(buffer)
+		if !l.pass() {
+			return
+		}
+		if n > 0 {
+			data := buffer[:n]
+			if l.rewrite != nil {
+				data = l.rewrite(data, toServer)
+			}
+			if _, err := to.Write(data); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
--- a/internal/processtest/config_exit_test.go
+++ b/internal/processtest/config_exit_test.go
@@ -13,6 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"gooseberryreel/internal/loopback"
 	"gooseberryreel/internal/remote"
 )
 
@@ -84,7 +85,7 @@
 	s.awaitOwners(second)
 
 	// The log drops records while the instance can't read them.
-	s.cutLog(linkRefuse, second)
+	s.cutLog(loopback.Refuse, second)
 	s.await("log lost", func() bool {
 		status, err := s.status(second)
 		return err == nil && !status.LogReadable
@@ -95,7 +96,7 @@
 	_, err = remote.NewHTTPLog(s.platform.LogURL()).Append(ctx, stream, [][]byte{[]byte("one"), []byte("two")})
 	s.Assert(err, qt.IsNil)
 	s.trimAll(stream)
-	s.cutLog(linkPass, second)
+	s.cutLog(loopback.Pass, second)
 	s.awaitEnd(second)
 	s.Check(second.exitCode(), qt.Equals, entryRecordsLost)
 
--- a/internal/processtest/config_faults_test.go
+++ b/internal/processtest/config_faults_test.go
@@ -11,6 +11,7 @@
 
 	"gooseberryreel/internal/config"
 	"gooseberryreel/internal/load"
+	"gooseberryreel/internal/loopback"
 	"gooseberryreel/internal/pb"
 	"gooseberryreel/internal/standin"
 )
@@ -131,8 +132,8 @@
 	stop := s.watchVersions()
 	o := s.newOperatorLog()
 	old := s.version(stale)
-	s.cutLog(linkRefuse, stale)
-	s.cutPeers(linkSilent, fresh, stale)
+	s.cutLog(loopback.Refuse, stale)
+	s.cutPeers(loopback.Silent, fresh, stale)
 	change := s.operate(o.URL, "crew", 2000)
 	s.Assert(change.code, qt.Equals, ctlAccepted, qt.Commentf("%s", change.output))
 	s.awaitVersion(change.version, fresh)
@@ -148,8 +149,8 @@
 	s.awaitVersion(change.version, stale) // from the late instance, still without the log
 
 	s.Assert(s.platform.ClearFaults(standin.NameLog), qt.IsNil)
-	s.cutLog(linkPass, stale)
-	s.cutPeers(linkPass, fresh, stale)
+	s.cutLog(loopback.Pass, stale)
+	s.cutPeers(loopback.Pass, fresh, stale)
 	next := s.operate(o.URL, "crew", 3000)
 	s.Assert(next.code, qt.Equals, ctlAccepted, qt.Commentf("%s", next.output))
 	s.awaitVersion(next.version, fresh, stale, late)
--- a/internal/processtest/harness_test.go
+++ b/internal/processtest/harness_test.go
@@ -26,6 +26,7 @@
 	"gooseberryreel/internal/config"
 	"gooseberryreel/internal/history"
 	"gooseberryreel/internal/load"
+	"gooseberryreel/internal/loopback"
 	"gooseberryreel/internal/pb"
 	"gooseberryreel/internal/remote"
 	"gooseberryreel/internal/standin"
@@ -123,7 +124,7 @@
 	name, domain string
 	http, peer   string
 	cmd          *exec.Cmd
-	log, list    *link
+	log, list    *loopback.Link
 	output       string
 	ended        chan struct{}
 }
@@ -188,12 +189,12 @@
 	})
 	s.Cleanup(view.Close)
 	var err error
-	p.log, err = newLink(strings.TrimPrefix(view.URL, "http://"), nil)
+	p.log, err = loopback.New(strings.TrimPrefix(view.URL, "http://"), nil)
 	s.Assert(err, qt.IsNil)
-	s.Cleanup(p.log.close)
-	p.list, err = newLink(strings.TrimPrefix(view.URL, "http://"), nil)
+	s.Cleanup(p.log.Close)
+	p.list, err = loopback.New(strings.TrimPrefix(view.URL, "http://"), nil)
 	s.Assert(err, qt.IsNil)
-	s.Cleanup(p.list.close)
+	s.Cleanup(p.list.Close)
 	s.platform.Register(name, domain, p.peer, remote.StateLive)
 	s.launch(p, s.settingsOf(p, change))
 	s.mu.Lock()
@@ -208,7 +209,7 @@
 
 func (s *site) freeAddress() string {
 	for {
-		listener, err := listenFiveDigits(processHost)
+		listener, err := loopback.Listen(loopback.ProcessHost)
 		s.Assert(err, qt.IsNil)
 		defer listener.Close()
 		address := listener.Addr().String()
@@ -223,7 +224,7 @@
 	settings := &pb.EntrySettings{
 		Instance: p.name, Region: "region", FailureDomain: p.domain,
 		HttpAddress: p.http, PeerAddress: p.peer,
-		LogUrl: "http://" + p.log.address, ListUrl: "http://" + p.list.address,
+		LogUrl: "http://" + p.log.Address, ListUrl: "http://" + p.list.Address,
 		Ownership: &pb.OwnershipSettings{RequestPartitions: 8, LeaseMs: leaseMS, HeartbeatIntervalMs: heartbeatMS},
 		Requests: &pb.RequestSettings{
 			DefaultTimeoutMs: 2000, MaxTimeoutMs: maxTimeout.Milliseconds(), ClockSkewMs: skewMS, ProgressTimeoutMs: 800,
@@ -281,15 +282,15 @@
 }
 
 // cutPeers sets the links between two processes in both directions.
-func (s *site) cutPeers(mode linkMode, a, b *process) {
+func (s *site) cutPeers(mode loopback.Mode, a, b *process) {
 	s.Helper()
-	s.Assert(s.addresses.link(a, b).set(mode), qt.IsNil)
-	s.Assert(s.addresses.link(b, a).set(mode), qt.IsNil)
+	s.Assert(s.addresses.link(a, b).Set(mode), qt.IsNil)
+	s.Assert(s.addresses.link(b, a).Set(mode), qt.IsNil)
 }
 
-func (s *site) cutLog(mode linkMode, p *process) {
+func (s *site) cutLog(mode loopback.Mode, p *process) {
 	s.Helper()
-	s.Assert(p.log.set(mode), qt.IsNil)
+	s.Assert(p.log.Set(mode), qt.IsNil)
 }
 
 func (s *site) publish(decl *pb.Declaration) {
--- a/internal/processtest/jobs_faults_test.go
+++ b/internal/processtest/jobs_faults_test.go
@@ -12,6 +12,7 @@
 
 	"gooseberryreel/internal/history"
 	"gooseberryreel/internal/load"
+	"gooseberryreel/internal/loopback"
 	"gooseberryreel/internal/pb"
 	"gooseberryreel/internal/standin"
 )
@@ -57,7 +58,7 @@
 	j.awaitOwners(j.entries...)
 	id := j.submit(j.entries[0], "long")
 	on := j.awaitState(id, "running").Worker
-	j.cutWorker(linkSilent, on)
+	j.cutWorker(loopback.Silent, on)
 	// Work that ends elsewhere shows that the owner plans on.
 	var others []string
 	for range 6 {
@@ -70,7 +71,7 @@
 	})
 	held, _ := j.get(id)
 	j.Check(held.State, qt.Equals, "running")
-	j.cutWorker(linkPass, on)
+	j.cutWorker(loopback.Pass, on)
 	done := j.awaitDone([]string{id})[id]
 	j.Check(done.Attempt, qt.Equals, 1)
 	j.checkJobs(7)
@@ -114,12 +115,12 @@
 		return true
 	})
 	cut, _ := j.get(ids[0])
-	j.cutWorker(linkRefuse, cut.Worker)
+	j.cutWorker(loopback.Refuse, cut.Worker)
 	j.await("lapse on the worker that is cut off", func() bool {
 		attempts := j.attempts(ids[0])
 		return attempts[len(attempts)-1].End != 0
 	})
-	j.cutWorker(linkPass, cut.Worker)
+	j.cutWorker(loopback.Pass, cut.Worker)
 	j.awaitDone(ids)
 	j.checkJobs(2 * len(ids))
 }
@@ -154,7 +155,7 @@
 			return false
 		case step == "requeue" && call.kind == "status" && stoppedIn(call, long):
 			// The owner learns of the stop and can't record what follows.
-			_ = owner.log.set(linkSilent)
+			_ = owner.log.Set(loopback.Silent)
 		}
 		return true
 	})
@@ -310,7 +311,7 @@
 		j.awaitState(id, "running")
 	}
 	j.Assert(j.platform.SetFaults(standin.NameLog, standin.Faults{Down: true}), qt.IsNil)
-	j.cutWorker(linkSilent, on)
+	j.cutWorker(loopback.Silent, on)
 	// A start that reached the silent worker is held until that worker answers,
 	// so an alert may be accepted only then.
 	alerts := make([]string, 4)
@@ -335,7 +336,7 @@
 	})
 	j.Assert(j.platform.ClearFaults(standin.NameLog), qt.IsNil)
 	j.awaitJobOwner()
-	j.cutWorker(linkPass, on)
+	j.cutWorker(loopback.Pass, on)
 	calls.Wait()
 	j.awaitDone(append(ids, alerts...))
 	j.checkJobs(8)
@@ -357,11 +358,11 @@
 		j.awaitState(id, "running")
 	}
 	limits := j.limits()
-	j.cutWorker(linkSilent, on)
+	j.cutWorker(loopback.Silent, on)
 	j.platform.Remove(on)
 	j.await("second attempt elsewhere", func() bool { return len(j.attempts(ids[0])) > 1 })
 	// What the link held arrives late.
-	j.cutWorker(linkPass, on)
+	j.cutWorker(loopback.Pass, on)
 	j.awaitDone(ids)
 	j.Check(history.CheckCapacity(j.history(), limits).Violations, qt.HasLen, 0)
 	j.checkJobs(len(ids))
--- a/internal/processtest/jobs_helpers_test.go
+++ b/internal/processtest/jobs_helpers_test.go
@@ -16,6 +16,7 @@
 
 	"gooseberryreel/internal/history"
 	"gooseberryreel/internal/load"
+	"gooseberryreel/internal/loopback"
 	"gooseberryreel/internal/pb"
 	"gooseberryreel/internal/remote/wire"
 	"gooseberryreel/internal/standin"
@@ -125,7 +126,7 @@
 
 func (j *jobSite) addProxy(name, address string) {
 	w := &workerProxy{name: name, to: address}
-	listener, err := listenFiveDigits(linkHost)
+	listener, err := loopback.Listen(loopback.Host)
 	j.Assert(err, qt.IsNil)
 	server := httptest.NewUnstartedServer(w)
 	_ = server.Listener.Close()
@@ -150,10 +151,10 @@
 }
 
 // cutWorker sets the links of all entry processes to a worker.
-func (j *jobSite) cutWorker(mode linkMode, name string) {
+func (j *jobSite) cutWorker(mode loopback.Mode, name string) {
 	j.Helper()
 	for _, p := range j.entries {
-		j.Assert(j.addresses.link(p, j.workers[name].node).set(mode), qt.IsNil)
+		j.Assert(j.addresses.link(p, j.workers[name].node).Set(mode), qt.IsNil)
 	}
 }
 
--- a/internal/processtest/ownership_pairs_test.go
+++ b/internal/processtest/ownership_pairs_test.go
@@ -11,6 +11,7 @@
 
 	"gooseberryreel/internal/history"
 	"gooseberryreel/internal/load"
+	"gooseberryreel/internal/loopback"
 	"gooseberryreel/internal/standin"
 )
 
@@ -23,12 +24,12 @@
 	load := s.startTraffic(6, nil, a, b, c)
 	load.awaitAnswers(60)
 	for _, p := range []*process{b, c} {
-		p.log.setDelay(20 * time.Millisecond)
+		p.log.SetDelay(20 * time.Millisecond)
 	}
 	s.Assert(s.platform.SetFaults(standin.NameLog, standin.Faults{Down: true}), qt.IsNil)
 	ids, wait := s.sendInBackground(a, 30)
-	s.cutPeers(linkSilent, a, b)
-	s.cutPeers(linkSilent, a, c)
+	s.cutPeers(loopback.Silent, a, b)
+	s.cutPeers(loopback.Silent, a, c)
 	s.kill(a)
 	wait()
 	load.use(b, c)
@@ -94,14 +95,14 @@
 	}, a, b, c)
 	load.balance(a, b, c)
 	load.awaitAnswers(60)
-	s.cutPeers(linkSilent, a, c)
-	s.cutPeers(linkSilent, b, c)
+	s.cutPeers(loopback.Silent, a, c)
+	s.cutPeers(loopback.Silent, b, c)
 	s.await("unknown outcomes across the cut", func() bool { return cut.Load() > 0 })
 	s.terminate(a)
 	<-a.ended
 	s.Check(a.cmd.ProcessState.ExitCode(), qt.Equals, 0)
 	s.awaitOwners(b)
-	s.cutPeers(linkPass, b, c)
+	s.cutPeers(loopback.Pass, b, c)
 	load.awaitAnswers(60)
 	load.end()
 	s.serves(b, c)
--- a/internal/processtest/ownership_single_test.go
+++ b/internal/processtest/ownership_single_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"gooseberryreel/internal/history"
+	"gooseberryreel/internal/loopback"
 	"gooseberryreel/internal/standin"
 )
 
@@ -51,7 +52,7 @@
 	s, a, b, c := threeEntries(t, 32)
 	load := s.startTraffic(6, nil, a, b, c)
 	load.awaitAnswers(60)
-	for _, mode := range []linkMode{linkSilent, linkRefuse} {
+	for _, mode := range []loopback.Mode{loopback.Silent, loopback.Refuse} {
 		s.cutLog(mode, a)
 		s.await("log to be unreadable", func() bool {
 			status, err := s.status(a)
@@ -60,7 +61,7 @@
 		time.Sleep(pastLease)
 		s.serves(a, b, c)
 		load.awaitAnswers(60)
-		s.cutLog(linkPass, a)
+		s.cutLog(loopback.Pass, a)
 		s.awaitOwners(a, b, c)
 	}
 	load.end()
@@ -76,13 +77,13 @@
 	load := s.startTraffic(6, nil, a, b, c)
 	load.awaitAnswers(60)
 	ids, wait := s.sendInBackground(b, 30)
-	s.cutPeers(linkSilent, a, b)
-	s.cutPeers(linkSilent, a, c)
+	s.cutPeers(loopback.Silent, a, b)
+	s.cutPeers(loopback.Silent, a, c)
 	time.Sleep(pastLease)
 	s.serves(a, b, c)
 	s.resend(ids, a, b, c)
-	s.cutPeers(linkPass, a, b)
-	s.cutPeers(linkPass, a, c)
+	s.cutPeers(loopback.Pass, a, b)
+	s.cutPeers(loopback.Pass, a, c)
 	wait()
 	s.resend(ids, a, b, c)
 	s.awaitOwners(a, b, c)
@@ -129,17 +130,17 @@
 	load := s.startTraffic(6, nil, a, b, c)
 	load.awaitAnswers(60)
 	ids, wait := s.sendInBackground(a, 30)
-	s.cutLog(linkSilent, a)
-	s.cutPeers(linkSilent, a, b)
-	s.cutPeers(linkSilent, a, c)
+	s.cutLog(loopback.Silent, a)
+	s.cutPeers(loopback.Silent, a, b)
+	s.cutPeers(loopback.Silent, a, c)
 	newer := s.start("a", "north")
-	s.cutPeers(linkSilent, a, newer)
+	s.cutPeers(loopback.Silent, a, newer)
 	load.use(b, c, newer, a)
 	s.awaitOwners(newer, b, c)
 	s.resend(ids, newer, b, c, a)
 	wait()
 	load.use(b, c, newer)
-	s.cutLog(linkPass, a)
+	s.cutLog(loopback.Pass, a)
 	<-a.ended
 	s.Check(a.cmd.ProcessState.ExitCode(), qt.Equals, exitSuperseded)
 	load.awaitAnswers(60)
@@ -156,7 +157,7 @@
 	load := s.startTraffic(6, nil, a, b, c)
 	load.awaitAnswers(60)
 	fromA, waitA := s.sendInBackground(a, 30)
-	s.cutLog(linkSilent, a)
+	s.cutLog(loopback.Silent, a)
 	a.signal(syscall.SIGSTOP)
 	load.use(b, c)
 	s.awaitOwners(b, c)
@@ -173,7 +174,7 @@
 	s.Check(len(s.owned(a)), qt.Equals, 0, qt.Commentf("the first owner of the chain may act while it is cut from the log"))
 	waitA()
 	waitB()
-	s.cutLog(linkPass, a)
+	s.cutLog(loopback.Pass, a)
 	s.awaitOwners(a, c)
 	load.awaitAnswers(60)
 	load.end()
--- a/internal/processtest/requests_faults_test.go
+++ b/internal/processtest/requests_faults_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"gooseberryreel/internal/history"
+	"gooseberryreel/internal/loopback"
 	"gooseberryreel/internal/pb"
 	"gooseberryreel/internal/standin"
 )
@@ -38,13 +39,13 @@
 	after := s.resend(ids, b, c, d)
 	s.Check(after[history.OutcomeNotRun], qt.Equals, 0)
 
-	s.cutPeers(linkSilent, b, d)
-	s.cutPeers(linkSilent, c, d)
+	s.cutPeers(loopback.Silent, b, d)
+	s.cutPeers(loopback.Silent, c, d)
 	cut := s.resend(ids, d)
 	s.Check(cut[history.OutcomeUnknown], qt.Equals, len(ids), qt.Commentf("a domain that is cut off answered for another: %v", cut))
 	s.serves(b, c, d)
-	s.cutPeers(linkPass, b, d)
-	s.cutPeers(linkPass, c, d)
+	s.cutPeers(loopback.Pass, b, d)
+	s.cutPeers(loopback.Pass, c, d)
 	s.resend(ids, b, c, d)
 	s.Logf("outcomes: at once %v, after the kill %v, after the cut %v", through, after, cut)
 	s.checkSome("G1", "G4", "G6")
