daemon: read worker entries every 100 ms; log the load each second

Cause: on the grown sites 350 to 490 workers send heartbeats every 1.1 to 1.5 s. The owner's long poll returned for each, some hundred reads a second.

Change: reads of the worker entries are at least 100 ms apart. The owner logs one line a second with what waits, what is in use and how many services miss their targets.

--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -16,12 +16,16 @@
 	// silent is noticed after this time and the timeout of a call.
 	watchWait  = 1500 * time.Millisecond
 	watchRetry = 150 * time.Millisecond
+	// workerPause collects the heartbeats of workers, hundreds a second, which
+	// would otherwise wake the read one by one. A worker that leaves is noticed
+	// later by this time, of the seconds that it goes on.
+	workerPause = 100 * time.Millisecond
 )
 
 // watch follows the newest record of each key of a partition until the context
 // ends. reset is called with all records at the start and after a gap, change
-// for each later record.
-func (i *Instance) watch(ctx context.Context, p store.Partition, reset func([]store.Record), change func(store.Record)) {
+// for each later record. Reads are at least pause apart.
+func (i *Instance) watch(ctx context.Context, p store.Partition, pause time.Duration, reset func([]store.Record), change func(store.Record)) {
 	next := int64(-1)
 	for ctx.Err() == nil {
 		var err error
@@ -37,6 +41,8 @@
 		}
 		if err != nil {
 			sleep(ctx, watchRetry)
+		} else if pause > 0 {
+			sleep(ctx, pause)
 		}
 	}
 }
@@ -77,7 +83,7 @@
 			i.takeConfig(r.Value)
 		}
 	}
-	i.watch(ctx, platform.ConfigTopic, func(records []store.Record) {
+	i.watch(ctx, platform.ConfigTopic, 0, func(records []store.Record) {
 		for _, r := range records {
 			change(r)
 		}
@@ -119,7 +125,7 @@
 		known[r.Key] = true
 		o.post(func(c *scheduler.Core, now time.Time) { c.SetWorker(entry, now) })
 	}
-	i.watch(ctx, platform.WorkerTopic, func(records []store.Record) {
+	i.watch(ctx, platform.WorkerTopic, workerPause, func(records []store.Record) {
 		present := make(map[string]bool, len(records))
 		for _, r := range records {
 			present[r.Key] = true
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -130,6 +130,7 @@
 	pairsVersion int64
 	planDue      bool
 	planned      time.Time // newest placement pass
+	summarizedAt time.Time
 	fenced       bool
 	out          Output
 	faults       faults
@@ -289,6 +290,7 @@
 		c.plan(now)
 	}
 	c.forgetJobs(now)
+	c.summarize(now)
 }
 
 // planInterval is the longest time between two placement passes: room changes
--- /dev/null
+++ b/internal/scheduler/summary.go
@@ -0,0 +1,59 @@
+package scheduler
+
+import "time"
+
+// summaryInterval is how often the owner logs what waits and what runs.
+const summaryInterval = time.Second
+
+// summarize logs the load of the site: what waits and for how long, what is in
+// use, and how many services miss their targets.
+func (c *Core) summarize(now time.Time) {
+	if now.Sub(c.summarizedAt) < summaryInterval {
+		return
+	}
+	c.summarizedAt = now
+	usable, silent, unhealthy := 0, 0, 0
+	var capacity, declared, fillers, paced int64
+	over, serving := 0, 0
+	for _, w := range c.order {
+		switch {
+		case !w.silentSince.IsZero():
+			silent++
+		case w.health.quarantined(now):
+			unhealthy++
+		case w.usable(now):
+			usable++
+			capacity += w.entry.Capacity.CPUMilli
+		}
+		declared += w.used.CPUMilli
+		fillers += w.fillerCPU
+		for _, a := range w.list {
+			switch {
+			case a.step().filler():
+				paced += a.step().size.CPUMilli * int64(100-a.pace) / 100
+			case a.serving():
+				serving++
+				if !a.overAt.IsZero() {
+					over++
+				}
+			}
+		}
+	}
+	var waiting, waitingFillers, waitingServices, late int
+	for _, s := range c.open {
+		switch {
+		case s.last():
+			waitingServices += s.waiting
+		case s.filler():
+			waitingFillers += s.waiting
+		default:
+			waiting += s.waiting
+		}
+		if s.waiting > 0 && now.After(s.round.job.dueBy()) {
+			late += s.waiting
+		}
+	}
+	c.note("load", "", "workers", usable, "silent", silent, "unhealthy", unhealthy, "capacity_milli", capacity,
+		"used_milli", declared, "fillers_milli", fillers, "paced_milli", paced, "services", serving, "services_over", over,
+		"waiting", waiting, "waiting_fillers", waitingFillers, "waiting_services", waitingServices, "waiting_late", late)
+}
