leader: announce claims, never claim over a newer owner, let larger machines go first

Change: a claimer joins the owner's group before it reads the state; a claim ends if the state names an owner newer than the one that was missed; a list of candidates that can't be read allows no claim; an instance on a machine of at most half the last owner's size waits 2 s longer; looks are 200 ms apart while no owner is listed, so that ranks 400 ms apart decide; the vacancy is 500 ms, above the owner's renewal.

--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -28,13 +28,19 @@
 	memberRenewal = time.Second
 	// ownerLook is how often an instance looks whether there is an owner.
 	ownerLook = 500 * time.Millisecond
+	// vacantLook replaces ownerLook while no owner is listed. It is below
+	// claimStagger, so that candidates claim in the order of their ranks.
+	vacantLook = 200 * time.Millisecond
 	// claimVacancy, claimStagger and claimSettle: see leader.Settings.
-	claimVacancy = 300 * time.Millisecond
+	// An owner that the store has dropped is listed again within ownerRenewal.
+	claimVacancy = 500 * time.Millisecond
 	claimStagger = 400 * time.Millisecond
 	claimSettle  = 600 * time.Millisecond
 	// claimUnlisted covers two renewals of each member, after which the list of
 	// candidates holds all that have started.
 	claimUnlisted = 2500 * time.Millisecond
+	// claimSmall lets five larger instances claim first.
+	claimSmall = 2 * time.Second
 	// yieldAfter is above memberTTL, so that the larger instance is alive.
 	yieldAfter = 5 * time.Second
 	// epochBits is the part of an epoch that tells claims of the same
@@ -73,9 +79,8 @@
 // takePart keeps the instance listed and claims the ownership when it is due,
 // until stop ends. work outlives stop.
 func (i *Instance) takePart(stop, work context.Context) {
-	s := i.settings
-	self := leader.Candidate{Instance: s.GetInstance(), Address: i.peerAddress(), CPUMilli: int64(s.GetCpuShare() * 1000)}
-	times := leader.Settings{Vacancy: claimVacancy, Stagger: claimStagger, Settle: claimSettle, Unlisted: claimUnlisted, Yield: yieldAfter}
+	self := leader.Candidate{Instance: i.settings.GetInstance(), Address: i.peerAddress(), CPUMilli: i.cpuMilli()}
+	times := leader.Settings{Vacancy: claimVacancy, Stagger: claimStagger, Settle: claimSettle, Unlisted: claimUnlisted, Small: claimSmall, Yield: yieldAfter}
 	elector := leader.New(self, times)
 	me := member{Instance: self.Instance, Address: self.Address, CPUMilli: self.CPUMilli}.name()
 	var listed sync.WaitGroup
@@ -83,18 +88,25 @@
 	defer listed.Wait()
 	for stop.Err() == nil {
 		i.look(stop, elector)
+		pause := ownerLook
+		if elector.Missing() {
+			pause = vacantLook
+		}
 		if i.config.Load() != nil && elector.Vacant(time.Now()) {
-			candidates := i.candidates(stop)
-			if elector.ShouldClaim(candidates, time.Now()) {
+			candidates, err := i.candidates(stop)
+			if err == nil && elector.ShouldClaim(candidates, time.Now()) {
 				i.claim(stop, work, leader.New(self, times))
 				elector.Claimed(time.Now())
 				continue
 			}
 		}
-		sleep(stop, ownerLook-time.Duration(rand.Int64N(int64(ownerLook/5))))
+		sleep(stop, pause-time.Duration(rand.Int64N(int64(pause/5))))
 	}
 }
 
+// cpuMilli returns the processor share of the machine.
+func (i *Instance) cpuMilli() int64 { return int64(i.settings.GetCpuShare() * 1000) }
+
 // stayListed keeps the instance in the group of candidates until stop ends, also
 // while it is the owner: its rank matters again if its process is restarted.
 func (i *Instance) stayListed(stop, work context.Context, me string) {
@@ -120,6 +132,7 @@
 	elector.Listed(newest != nil, time.Now())
 	if newest != nil {
 		i.setOwner(newest)
+		elector.Owner(newest.GetCpuMilli())
 	}
 }
 
@@ -146,7 +159,7 @@
 			continue
 		}
 		if newest == nil || owner.Epoch > newest.GetEpoch() {
-			newest = &pb.OwnerRecord{Epoch: owner.Epoch, Instance: owner.Instance, PeerAddress: owner.Address}
+			newest = &pb.OwnerRecord{Epoch: owner.Epoch, Instance: owner.Instance, PeerAddress: owner.Address, CpuMilli: owner.CPUMilli}
 		}
 	}
 	return newest, nil
@@ -164,11 +177,11 @@
 		WithField("before", old.GetInstance()).Info("membership")
 }
 
-func (i *Instance) candidates(ctx context.Context) []leader.Candidate {
+func (i *Instance) candidates(ctx context.Context) ([]leader.Candidate, error) {
 	members, err := i.store.Members(ctx, memberGroup)
 	if err != nil {
 		i.log.WithField("event", "members unknown").WithError(err).Warn("membership")
-		return nil
+		return nil, err
 	}
 	var list []leader.Candidate
 	for _, m := range members {
@@ -177,13 +190,29 @@
 			list = append(list, leader.Candidate{Instance: c.Instance, Address: c.Address, CPUMilli: c.CPUMilli})
 		}
 	}
-	return list
+	return list, nil
 }
 
 // claim takes the ownership and runs as the owner until it is lost.
 func (i *Instance) claim(stop, work context.Context, elector *leader.Elector) {
 	begun := time.Now()
+	// The others see that a claim is under way, and don't claim as well.
+	intent := member{Instance: i.settings.GetInstance(), Address: i.peerAddress(), CPUMilli: i.cpuMilli()}
+	if err := i.store.Join(stop, ownerGroup, intent.name(), i.ownerTTL()); err != nil {
+		i.log.WithField("event", "claim failed").WithError(err).Warn("membership")
+		return
+	}
 	state, err := i.open(stop)
+	owner := intent
+	owner.Epoch = state.epoch()
+	if err == nil {
+		if err := i.store.Join(stop, ownerGroup, owner.name(), i.ownerTTL()); err != nil {
+			i.log.WithField("event", "owner not listed yet").WithError(err).Warn("membership")
+		}
+	}
+	if err := i.store.Leave(work, ownerGroup, intent.name()); err != nil {
+		i.log.WithField("event", "leave failed").WithError(err).Warn("membership")
+	}
 	if err != nil {
 		i.metrics.claims.WithLabelValues("failed").Inc()
 		i.log.WithField("event", "claim failed").WithError(err).Warn("membership")
@@ -193,7 +222,7 @@
 	i.log.WithField("event", "claim won").WithField("epoch", state.owner.GetEpoch()).
 		WithField("took_ms", time.Since(begun).Milliseconds()).Info("membership")
 	i.setOwner(state.owner)
-	i.serveOwnership(stop, work, state, elector)
+	i.serveOwnership(stop, work, state, owner.name(), elector)
 }
 
 // stored is the state of the jobs as of a claim.
@@ -206,9 +235,23 @@
 	intakeEnd int64
 }
 
+// epoch returns the epoch of the claim, 0 if there is none.
+func (s *stored) epoch() int64 {
+	if s == nil {
+		return 0
+	}
+	return s.owner.GetEpoch()
+}
+
+// ownerTTL is the time to live in the group of the owner that the store allows.
+func (i *Instance) ownerTTL() time.Duration {
+	return max(ownerTTL, time.Duration(i.settings.GetStore().GetMinGroupTtlMs())*time.Millisecond)
+}
+
 // open reads the job state and claims a new epoch on top of exactly what was
 // read.
 func (i *Instance) open(ctx context.Context) (*stored, error) {
+	known := i.owner.Load().GetEpoch()
 	var owner, before *pb.OwnerRecord
 	var last error
 	for range claimTries {
@@ -222,11 +265,20 @@
 		if owner != nil && s.owner.GetEpoch() != before.GetEpoch() {
 			return nil, errors.Errorf("%s has claimed epoch %d in the meantime", s.owner.GetInstance(), s.owner.GetEpoch())
 		}
+		if owner == nil && s.owner.GetEpoch() > known {
+			// Another instance has claimed since the group was found without an
+			// owner. If it is gone again, the next look finds no owner.
+			if known != 0 {
+				i.setOwner(s.owner)
+				return nil, errors.Errorf("%s has claimed epoch %d already", s.owner.GetInstance(), s.owner.GetEpoch())
+			}
+		}
 		if owner == nil {
 			before = s.owner
 			owner = &pb.OwnerRecord{
 				Epoch:    (s.owner.GetEpoch()>>epochBits+1)<<epochBits | rand.Int64N(1<<epochBits),
 				Instance: i.settings.GetInstance(), PeerAddress: i.peerAddress(), Earlier: earlierOwners(before),
+				CpuMilli: i.cpuMilli(),
 			}
 		}
 		if last = i.appendClaim(ctx, owner, s.end); last == nil {
--- a/internal/daemon/ownership.go
+++ b/internal/daemon/ownership.go
@@ -80,7 +80,7 @@
 }
 
 // serveOwnership runs a term until it is lost or stop ends.
-func (i *Instance) serveOwnership(stop, work context.Context, s *stored, elector *leader.Elector) {
+func (i *Instance) serveOwnership(stop, work context.Context, s *stored, me string, elector *leader.Elector) {
 	ctx, cancel := context.WithCancel(work)
 	defer cancel()
 	o := &ownership{
@@ -90,7 +90,6 @@
 	}
 	o.orders = newOrderQueues(o)
 	i.setCurrent(o)
-	me := member{Instance: i.settings.GetInstance(), Address: i.peerAddress(), Epoch: o.epoch}.name()
 	var group sync.WaitGroup
 	run := func(f func()) {
 		group.Add(1)
@@ -163,12 +162,11 @@
 // of reach for so long that another owner may no longer count on its leases.
 func (o *ownership) renew(me string, elector *leader.Elector) {
 	i := o.instance
-	shortest := time.Duration(i.settings.GetStore().GetMinGroupTtlMs()) * time.Millisecond
 	for n := 1; o.ctx.Err() == nil; n++ {
 		if n%newerOwnerLooks == 0 {
 			i.lookForNewer(o.ctx)
 		}
-		err := i.store.Join(o.ctx, ownerGroup, me, max(ownerTTL, shortest))
+		err := i.store.Join(o.ctx, ownerGroup, me, i.ownerTTL())
 		if err != nil && i.contact.age() > scheduler.OwnerGrace {
 			o.lose("the store is out of reach")
 			return
@@ -177,9 +175,11 @@
 			o.lose("there is a newer owner")
 			return
 		}
-		if n%yieldLooks == 0 && elector.ShouldYield(i.candidates(o.ctx), time.Now()) {
-			o.lose("an instance on a larger machine is there")
-			return
+		if n%yieldLooks == 0 {
+			if candidates, err := i.candidates(o.ctx); err == nil && elector.ShouldYield(candidates, time.Now()) {
+				o.lose("an instance on a larger machine is there")
+				return
+			}
 		}
 		sleep(o.ctx, ownerRenewal)
 	}
--- a/internal/daemon/succession_test.go
+++ b/internal/daemon/succession_test.go
@@ -21,3 +21,14 @@
 	s.waitState(s.instances[0], 1, "completed")
 	s.checkOnce(1, 4, 3)
 }
+
+// Guards against instances that claim one over the other when a site starts:
+// each change of the owner holds up all starts.
+func TestOneClaimAtTheStart(t *testing.T) {
+	s := newSite(t, 6, 2, quick)
+	owner := s.owner()
+	s.submit(s.instances[0], 1, 3)
+	s.waitState(s.instances[0], 1, "completed")
+	qt.Assert(t, owner.owner.Load().GetEpoch()>>epochBits, qt.Equals, int64(1))
+	qt.Assert(t, s.owner(), qt.Equals, owner)
+}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -33,14 +33,19 @@
 	// lacks: at the first start the list is filled only gradually, and without it
 	// the rank is not known.
 	Unlisted time.Duration
+	// Small is the further delay of an instance on a machine much smaller than
+	// that of the last owner: the list of candidates may lack the larger ones when
+	// the store has dropped members.
+	Small time.Duration
 	// Yield is how long a much larger candidate must be listed before an owner
 	// gives way to it.
 	Yield time.Duration
 }
 
-// yieldFactor is how much larger a machine must be for an owner to give way. A
-// change of the owner stops new starts for about a second, so it must pay.
-const yieldFactor = 2
+// muchLarger is how much larger a machine must be to go before others whatever
+// the list says, and for an owner to give way. A change of the owner stops new
+// starts for about a second, so it must pay.
+const muchLarger = 2
 
 // Elector is the view of one instance.
 type Elector struct {
@@ -49,6 +54,7 @@
 	vacant   time.Time // since when no owner is listed, zero while one is
 	steady   time.Time // since when the store answers without a gap
 	larger   time.Time // since when a much larger candidate is listed
+	ownerCPU int64     // machine of the newest known owner, in thousandths
 }
 
 // New returns an Elector that knows of no owner.
@@ -70,6 +76,12 @@
 	}
 }
 
+// Owner takes the size of the newest known owner's machine.
+func (e *Elector) Owner(cpuMilli int64) { e.ownerCPU = cpuMilli }
+
+// Missing reports whether the newest look found no owner.
+func (e *Elector) Missing() bool { return !e.vacant.IsZero() }
+
 // Vacant reports whether the first candidate would claim now, so that the list
 // of candidates is worth a look.
 func (e *Elector) Vacant(now time.Time) bool {
@@ -86,6 +98,9 @@
 	if !slices.Contains(candidates, e.self) {
 		wait += e.settings.Unlisted
 	}
+	if e.ownerCPU >= muchLarger*e.self.CPUMilli {
+		wait += e.settings.Small
+	}
 	return now.Sub(e.vacant) >= wait
 }
 
@@ -95,7 +110,7 @@
 // ShouldYield reports whether this instance, as the owner, gives way to a
 // candidate on a much larger machine.
 func (e *Elector) ShouldYield(candidates []Candidate, now time.Time) bool {
-	if !slices.ContainsFunc(candidates, func(c Candidate) bool { return c.CPUMilli >= yieldFactor*e.self.CPUMilli }) {
+	if !slices.ContainsFunc(candidates, func(c Candidate) bool { return c.CPUMilli >= muchLarger*e.self.CPUMilli }) {
 		e.larger = time.Time{}
 		return false
 	}
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -8,7 +8,7 @@
 )
 
 var (
-	testSettings = Settings{Vacancy: 300 * time.Millisecond, Stagger: 400 * time.Millisecond, Settle: 600 * time.Millisecond, Unlisted: 2 * time.Second, Yield: 2 * time.Second}
+	testSettings = Settings{Vacancy: 300 * time.Millisecond, Stagger: 400 * time.Millisecond, Settle: 600 * time.Millisecond, Unlisted: 2 * time.Second, Yield: 2 * time.Second, Small: 2 * time.Second}
 	small        = Candidate{Instance: "a", Address: "1", CPUMilli: 100}
 	large        = Candidate{Instance: "b", Address: "2", CPUMilli: 800}
 	alike        = Candidate{Instance: "c", Address: "3", CPUMilli: 800}
@@ -86,3 +86,18 @@
 	qt.Assert(t, e.ShouldYield(all, begin.Add(4*time.Second)), qt.IsTrue)
 	qt.Assert(t, New(large, testSettings).ShouldYield(all, begin.Add(4*time.Second)), qt.IsFalse)
 }
+
+// Guards against a small machine that takes the jobs over when the store has
+// dropped the members of the group, so that it finds itself alone in the list.
+func TestSmallMachineWaitsForLargerOnes(t *testing.T) {
+	begin := time.Unix(0, 0)
+	e := New(small, testSettings)
+	e.Owner(large.CPUMilli)
+	e.Listed(false, begin)
+	qt.Assert(t, e.ShouldClaim([]Candidate{small}, begin.Add(2*time.Second)), qt.IsFalse)
+	qt.Assert(t, e.ShouldClaim([]Candidate{small}, begin.Add(2300*time.Millisecond)), qt.IsTrue)
+	e = New(alike, testSettings)
+	e.Owner(large.CPUMilli)
+	e.Listed(false, begin)
+	qt.Assert(t, e.ShouldClaim([]Candidate{alike}, begin.Add(600*time.Millisecond)), qt.IsTrue)
+}
