scheduler: order by what a job can still achieve; learn durations

Cause: steps were placed in the order of due times computed from the callers' estimates, which are off by up to 0.9 in the logarithm. Under overload the earliest due go first, so that nearly all come late.

Change: a step's standing is on time, late (within three objectives) or overdue, given the longest chain of work that is left; better standings go first. Expected durations are fitted per queue to what tasks took, so that noise in the estimates draws them to the mean.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -59,9 +59,11 @@
 	w.grant(lease)
 	w.orderQueue++
 	s := a.step()
+	checkpoint := s.checkpointFor(a.task)
+	a.whole = checkpoint == ""
 	c.out.Orders = append(c.out.Orders, Order{
 		Kind: OrderStart, Worker: w.id, Address: w.entry.Address, Token: c.opts.Epoch, Run: a.run, Lease: lease,
-		Payload: a.job().sub.GetPayload(), Checkpoint: s.checkpointFor(a.task), Ticket: s.ticketFor(w), SentAt: now,
+		Payload: a.job().sub.GetPayload(), Checkpoint: checkpoint, Ticket: s.ticketFor(w), SentAt: now,
 	})
 }
 
@@ -303,6 +305,9 @@
 		t.checkpoint = checkpoint
 	}
 	if how == EndDone {
+		if !a.startedAt.IsZero() && a.whole {
+			c.durations.of(j.sub.GetQueue()).observe(t.step.spec.GetEstimateMs(), now.Sub(a.startedAt))
+		}
 		if j.active() && !t.done {
 			c.taskDone(t, now)
 		}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -124,7 +124,8 @@
 	starts  []*attempt
 	cursors []workerCursor
 
-	pairs *interference.Pairs
+	pairs     *interference.Pairs
+	durations durations
 	// pairsAt and pairsVersion are those of the newest recorded snapshot.
 	pairsAt      time.Time
 	pairsVersion int64
@@ -151,7 +152,7 @@
 func New(o Options, now time.Time) *Core {
 	return &Core{
 		opts: o, startedAt: now, jobs: make(map[string]*job), cancelled: make(map[string]time.Time),
-		workers: make(map[string]*worker), pairs: interference.NewPairs(),
+		workers: make(map[string]*worker), pairs: interference.NewPairs(), durations: make(durations),
 	}
 }
 
--- /dev/null
+++ b/internal/scheduler/durations.go
@@ -0,0 +1,65 @@
+package scheduler
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// durationPrior is the weight of trusting estimates as they are, in observed
+	// tasks.
+	durationPrior = 20
+	// durationMemory is the number of tasks after which old ones count for little.
+	durationMemory = 500
+)
+
+// durations corrects the estimates of tasks, which callers give only roughly.
+// For each queue it fits the logarithm of the time that tasks took to that of
+// their estimates: noise in the estimates draws the expectation to the mean.
+type durations map[string]*durationFit
+
+type durationFit struct {
+	weight                 float64
+	estimate, took         float64 // means of logarithms
+	estimateVar, crossProd float64 // moments about the means
+}
+
+func (d durations) of(queue string) *durationFit {
+	f := d[queue]
+	if f == nil {
+		f = &durationFit{}
+		d[queue] = f
+	}
+	return f
+}
+
+// observe takes a task that worked at full pace from its start to its end.
+func (f *durationFit) observe(estimateMs int64, took time.Duration) {
+	if estimateMs <= 0 || took < time.Millisecond {
+		return
+	}
+	x, y := math.Log(float64(estimateMs)), math.Log(float64(took)/float64(time.Millisecond))
+	f.weight = min(f.weight+1, durationMemory)
+	rate := 1 / f.weight
+	dx := x - f.estimate
+	f.estimate += rate * dx
+	f.took += rate * (y - f.took)
+	f.estimateVar += rate * (dx*(x-f.estimate) - f.estimateVar)
+	f.crossProd += rate * (dx*(y-f.took) - f.crossProd)
+}
+
+// expect returns how long a task with an estimate is expected to take.
+func (f *durationFit) expect(estimateMs int64) time.Duration {
+	raw := time.Duration(estimateMs) * time.Millisecond
+	if estimateMs <= 0 || f.weight == 0 {
+		return raw
+	}
+	slope := 0.0
+	if f.estimateVar > 0 {
+		slope = min(max(f.crossProd/f.estimateVar, 0), 1)
+	}
+	x := math.Log(float64(estimateMs))
+	fitted := f.took + slope*(x-f.estimate)
+	trust := f.weight / (f.weight + durationPrior)
+	return time.Duration(math.Exp(trust*fitted+(1-trust)*x) * float64(time.Millisecond))
+}
--- a/internal/scheduler/interference.go
+++ b/internal/scheduler/interference.go
@@ -255,7 +255,7 @@
 	if a.pacing || percent == a.paceSent || w.entry.Address == "" {
 		return
 	}
-	a.pace, a.pacedAt, a.pacing = percent, now, true
+	a.pace, a.pacedAt, a.pacing, a.whole = percent, now, true, false
 	w.orderQueue++
 	c.out.Orders = append(c.out.Orders, Order{
 		Kind: OrderPace, Worker: w.id, Address: w.entry.Address, Token: c.opts.Epoch, Run: a.run, Percent: percent, SentAt: now,
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -15,7 +15,6 @@
 	received time.Time
 	endedAt  time.Time
 	rounds   []*round
-	due      time.Time // see dueBy
 	// visible is the state as of the newest confirmed record.
 	visible pb.PublicState
 	changed bool // not in the newest batch
@@ -32,16 +31,17 @@
 
 // step is a set of equal tasks.
 type step struct {
-	round   *round
-	index   int
-	spec    *pb.StepSpec
-	size    Size
-	image   int // number of the image in the interference model
-	tasks   []*task
-	left    int // tasks that are not done
-	waiting int // tasks that are neither done nor present on a worker
-	readyAt time.Time
-	advice  *advice
+	round    *round
+	index    int
+	spec     *pb.StepSpec
+	size     Size
+	image    int // number of the image in the interference model
+	tasks    []*task
+	left     int // tasks that are not done
+	waiting  int // tasks that are neither done nor present on a worker
+	readyAt  time.Time
+	schedule schedule
+	advice   *advice
 }
 
 // task is one task of a step.
@@ -67,6 +67,8 @@
 	run    Run
 	worker *worker
 
+	// whole says that the task worked at full pace and from its beginning.
+	whole     bool
 	recorded  bool      // its record is confirmed
 	sentAt    time.Time // start order handed out
 	startedAt time.Time // start order answered, zero if it may still be under way
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -13,8 +12,8 @@
 		return
 	}
 	pass := &pass{core: c, now: now, pools: make(map[string][]*slot), full: make(map[need]Size)}
-	for _, s := range c.waitingSteps(now) {
-		pass.placeStep(s)
+	for _, r := range c.waitingSteps(now) {
+		pass.placeStep(r)
 	}
 }
 
@@ -39,33 +38,18 @@
 
 // waitingSteps returns the steps with tasks to place, in the order in which
 // they get room.
-func (c *Core) waitingSteps(now time.Time) []*step {
-	var list []*step
+func (c *Core) waitingSteps(now time.Time) []rank {
+	var list []rank
 	for _, s := range c.open {
 		if s.waiting > 0 {
-			list = append(list, s)
+			schedule := c.scheduleOf(s, now)
+			list = append(list, rank{s, schedule.standing(now), schedule.due()})
 		}
 	}
-	slices.SortStableFunc(list, func(a, b *step) int { return compareSteps(a, b, now) })
+	slices.SortFunc(list, rank.compare)
 	return list
 }
 
-// compareSteps orders steps: by priority, short tasks before lasting ones, which
-// hold their room for good, then by the time at which the job stops being on
-// time. A job that is late already lets others go first, since it earns the
-// same a little later.
-func compareSteps(a, b *step, now time.Time) int {
-	ja, jb := a.round.job, b.round.job
-	return cmp.Or(
-		cmp.Compare(ja.sub.GetPriority(), jb.sub.GetPriority()),
-		compareBool(a.last(), b.last()),
-		compareBool(now.After(ja.dueBy()), now.After(jb.dueBy())),
-		ja.dueBy().Compare(jb.dueBy()),
-		cmp.Compare(ja.sub.GetId(), jb.sub.GetId()),
-		cmp.Compare(a.index, b.index),
-	)
-}
-
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
@@ -77,24 +61,6 @@
 	}
 }
 
-// dueBy returns until when a job is on time if its estimates hold.
-func (j *job) dueBy() time.Time {
-	if j.due.IsZero() {
-		chain := time.Duration(0)
-		longest := make([]time.Duration, len(j.sub.GetSteps()))
-		for i, s := range j.sub.GetSteps() {
-			for _, earlier := range s.GetAfter() {
-				longest[i] = max(longest[i], longest[earlier])
-			}
-			longest[i] += time.Duration(s.GetEstimateMs()) * time.Millisecond
-			chain = max(chain, longest[i])
-		}
-		target := time.Duration(j.sub.GetTargetMs()) * time.Millisecond
-		j.due = j.received.Add(time.Duration(float64(chain)*max(j.sub.GetStretch(), 1)) + target)
-	}
-	return j.due
-}
-
 // pass is one placement pass. It keeps the workers of each pool.
 type pass struct {
 	core  *Core
@@ -136,7 +102,8 @@
 }
 
 // placeStep places the waiting tasks of a step as far as there is room.
-func (p *pass) placeStep(s *step) {
+func (p *pass) placeStep(r rank) {
+	s := r.step
 	q := p.core.queue(s.round.job)
 	if q == nil {
 		return // the queue is gone, so no worker may run its jobs
@@ -173,7 +140,8 @@
 	if placed > 0 {
 		j := s.round.job
 		p.core.note("step placed", j.sub.GetRequestId(), "job", j.sub.GetId(), "round", s.round.number, "step", s.index,
-			"tasks", placed, "waiting", s.waiting, "waited_ms", p.now.Sub(s.readyAt).Milliseconds(), "config", p.core.config.Version)
+			"tasks", placed, "waiting", s.waiting, "waited_ms", p.now.Sub(s.readyAt).Milliseconds(),
+			"standing", r.standing.String(), "due_in_ms", r.due.Sub(p.now).Milliseconds(), "config", p.core.config.Version)
 	}
 }
 
--- a/internal/scheduler/summary.go
+++ b/internal/scheduler/summary.go
@@ -49,7 +49,7 @@
 		default:
 			waiting += s.waiting
 		}
-		if s.waiting > 0 && now.After(s.round.job.dueBy()) {
+		if s.waiting > 0 && c.scheduleOf(s, now).standing(now) != onTime {
 			late += s.waiting
 		}
 	}
