scheduler: no fillers beside a service that misses its target

Each start beside a service that has been over its target for half of the bound is stopped at once.

Change: a worker on which a service misses its target now receives no filler.

--- a/internal/scheduler/feasibility.go
+++ b/internal/scheduler/feasibility.go
@@ -15,6 +15,8 @@
 	load   load
 	// services are the service images on the worker.
 	services []predicted
+	// over says that a service there misses its target now.
+	over bool
 }
 
 // predicted is the expected use of the serving tasks of one image.
@@ -34,13 +36,14 @@
 func (sl *slot) update() {
 	sl.free = sl.worker.free()
 	sl.load = loadOf(sl.worker)
-	sl.services = sl.services[:0]
+	sl.services, sl.over = sl.services[:0], false
 	if sl.worker.services == 0 {
 		return
 	}
 	for _, a := range sl.worker.list {
 		if a.serving() {
 			sl.addService(a)
+			sl.over = sl.over || !a.overAt.IsZero()
 		}
 	}
 }
--- a/internal/scheduler/ranking.go
+++ b/internal/scheduler/ranking.go
@@ -113,6 +113,11 @@
 	if p.core.faults.ignoreHarm {
 		return use, true
 	}
+	if sl.over {
+		// Whatever its cause, more load makes it worse, and after half of the
+		// harm bound all fillers there are stopped.
+		return 0, false
+	}
 	pressure, ok := sl.pressureOf(s.image, share(s.size.CPUMilli, cpu))
 	cost := use + pressureCost*pressure
 	if !ok && s.starved(p.now) {
