scheduler: lasting tasks that wait for 3 s go before short ones

At 96 % of the declared room, short tasks go before lasting ones and take what other short tasks free, so that a lasting task that had ended by its own fault waited for 14 s.

Change: lasting tasks that have waited for 3 s go first. For those that fit nowhere, the worker with the most room that short tasks can still free is kept from others in that pass, up to a tenth of the workers.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -147,6 +147,7 @@
 	stayOnLeaving    bool // tasks stay on a worker that leaves
 	ignoreHarm       bool // fillers are placed and paced without regard to services
 	earliestDue      bool // steps go by due time and the callers' estimates alone
+	starveLasting    bool // lasting tasks wait behind short ones however long
 }
 
 // New returns a core that took over at a time.
--- a/internal/scheduler/feasibility.go
+++ b/internal/scheduler/feasibility.go
@@ -17,6 +17,8 @@
 	services []predicted
 	// over says that a service there misses its target now.
 	over bool
+	// reserved keeps the worker for a starving task that does not fit yet.
+	reserved bool
 }
 
 // predicted is the expected use of the serving tasks of one image.
@@ -95,15 +97,30 @@
 	return q.Advice == nil || s.hasTicket(sl.worker, now)
 }
 
+// freeSoon returns the room on the worker once its short tasks have ended.
+func (sl *slot) freeSoon() Size {
+	free := sl.free
+	for _, a := range sl.worker.list {
+		if s := a.step(); !s.last() && !s.filler() {
+			free = free.Add(s.size)
+		}
+	}
+	return free
+}
+
+// mayHold reports whether a task may run on the worker once there is room.
+func (sl *slot) mayHold(t *task, q *Queue, now time.Time) bool {
+	spread := int(t.step.spec.GetSpread())
+	return sl.allows(t, q, now) && (spread <= 0 || sl.ofStep(t.step) < spread)
+}
+
 // fits reports whether a task may be started on the worker now.
 func (sl *slot) fits(t *task, q *Queue, now time.Time) bool {
-	s := t.step
-	need := s.size
-	if s.filler() {
+	need := t.step.size
+	if t.step.filler() {
 		need.CPUMilli = 0
-	}
-	if !need.Fits(sl.free) || !sl.allows(t, q, now) {
+	} else if sl.reserved {
 		return false
 	}
-	return s.spec.GetSpread() <= 0 || sl.ofStep(s) < int(s.spec.GetSpread())
+	return need.Fits(sl.free) && sl.mayHold(t, q, now)
 }
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -90,16 +91,52 @@
 	step     *step
 	standing standing
 	due      time.Time
+	// starving limits the rank to lasting tasks that have waited for
+	// lastingPatience.
+	starving bool
 }
 
-// compare orders steps: by priority, short tasks before lasting ones, which hold
-// their room for good, then those that can still be on time, then those that can
+// lastingPatience is how long a lasting task waits behind short ones. When more
+// short tasks arrive than fit, it would wait for good, since what they free is
+// taken by the next of them; a lasting task must run again 9 s after it ended.
+const lastingPatience = 3 * time.Second
+
+// starving reports whether a lasting task has waited for too long.
+func (t *task) starving(now time.Time) bool {
+	since := t.step.readyAt
+	if t.endedAt.After(since) {
+		since = t.endedAt
+	}
+	return t.step.last() && !t.done && !t.live() && now.Sub(since) >= lastingPatience
+}
+
+// ranksOf returns the places of a step in a pass.
+func (c *Core) ranksOf(s *step, now time.Time) []rank {
+	schedule := c.scheduleOf(s, now)
+	r := rank{step: s, standing: schedule.standing(now), due: schedule.due()}
+	if c.faults.earliestDue {
+		r.standing = onTime
+		if now.After(r.due) {
+			r.standing = late
+		}
+	}
+	if !s.last() || c.faults.starveLasting || s.spec.GetGang() || !slices.ContainsFunc(s.tasks, func(t *task) bool { return t.starving(now) }) {
+		return []rank{r}
+	}
+	first := r
+	first.starving = true
+	return []rank{first, r}
+}
+
+// compare orders steps: by priority, starving lasting tasks first, short tasks
+// before other lasting ones, which hold their room for good, then those that can still be on time, then those that can
 // still be worth something. Under overload this gives up the jobs that would
 // come late anyway, where the earliest due first would make all of them late.
 func (a rank) compare(b rank) int {
 	ja, jb := a.step.round.job, b.step.round.job
 	return cmp.Or(
 		cmp.Compare(ja.sub.GetPriority(), jb.sub.GetPriority()),
+		-compareBool(a.starving, b.starving),
 		compareBool(a.step.last(), b.step.last()),
 		cmp.Compare(a.standing, b.standing),
 		a.due.Compare(b.due),
--- a/internal/scheduler/order_test.go
+++ b/internal/scheduler/order_test.go
@@ -88,3 +88,62 @@
 		c.Check(got > estimate*9/10 && got < estimate*11/10, qt.IsTrue, qt.Commentf("%d ms: %d", estimate, got))
 	}
 }
+
+// saturated replays half a minute in which short tasks take all room that they
+// free, and returns how long the lasting task that waited longest waited.
+func saturated(off faults) (longest time.Duration, short int) {
+	w := newWorld(5, 6)
+	w.off, w.core.faults = off, off
+	w.behave = func(r Run) simTask {
+		if imageOf(r) < 100 {
+			return simTask{lasts: true, tail: 5}
+		}
+		return simTask{work: 800 * time.Millisecond}
+	}
+	w.run(2 * time.Second)
+	for n := range 40 {
+		w.submit(simJob(100+n, simStepSpec(10, 2000)))
+	}
+	w.run(time.Second)
+	lasting := simStepSpec(5, 3000)
+	lasting.Lasting = true
+	w.submit(simJob(1, lasting))
+	since := w.now
+	for n := range 300 {
+		if n%4 == 0 {
+			w.submit(simJob(200+n, simStepSpec(12, 2000)))
+		}
+		w.run(100 * time.Millisecond)
+		running := 0
+		for _, sw := range w.workers {
+			for _, r := range sw.active {
+				if r.does.lasts {
+					running++
+				}
+			}
+		}
+		if running == 5 && longest == 0 {
+			longest = w.now.Sub(since)
+		}
+	}
+	if longest == 0 {
+		longest = w.now.Sub(since)
+	}
+	for id, state := range w.states() {
+		if id != lasting.Image && state == pb.PublicState_PUBLIC_STATE_COMPLETED {
+			short++
+		}
+	}
+	return longest, short
+}
+
+// Guards against lasting tasks that never start while short ones take all the
+// room, as on days of the grown staubwissen site (mix --seed 938746652697).
+func TestLastingTasksBesideManyShortOnes(t *testing.T) {
+	behind, _ := saturated(faults{starveLasting: true})
+	promoted, short := saturated(faults{})
+	t.Logf("all lasting tasks run after %v, after %v behind all short tasks; %d short jobs done", promoted, behind, short)
+	qt.Assert(t, behind > 9*time.Second, qt.IsTrue)
+	qt.Assert(t, promoted < 9*time.Second, qt.IsTrue)
+	qt.Assert(t, short > 0, qt.IsTrue)
+}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -42,15 +42,7 @@
 	var list []rank
 	for _, s := range c.open {
 		if s.waiting > 0 {
-			schedule := c.scheduleOf(s, now)
-			r := rank{s, schedule.standing(now), schedule.due()}
-			if c.faults.earliestDue {
-				r.standing = onTime
-				if now.After(r.due) {
-					r.standing = late
-				}
-			}
-			list = append(list, r)
+			list = append(list, c.ranksOf(s, now)...)
 		}
 	}
 	slices.SortFunc(list, rank.compare)
@@ -75,6 +67,8 @@
 	pools map[string][]*slot
 	// full holds the smallest size of each need that found no room.
 	full map[need]Size
+	// reserved is the number of workers kept for starving tasks.
+	reserved int
 }
 
 // need is what tasks that differ only in size ask of a worker.
@@ -133,10 +127,14 @@
 	}
 	placed := 0
 	for _, t := range s.tasks {
-		if t.done || t.live() || p.now.Before(t.notBefore) {
+		if t.done || t.live() || p.now.Before(t.notBefore) || r.starving && !t.starving(p.now) {
 			continue
 		}
 		if !p.placeTask(t, slots, q) {
+			if r.starving {
+				p.reserve(t, slots, q)
+				continue
+			}
 			if plain {
 				p.full[need] = s.size
 			}
@@ -152,6 +150,27 @@
 	}
 }
 
+// maxReserved bounds the share of the workers that are kept for starving tasks.
+const maxReserved = 0.1
+
+// reserve keeps the worker with the most room that may run a task from others in
+// this pass, so that what ends there makes room for it.
+func (p *pass) reserve(t *task, slots []*slot, q *Queue) {
+	if float64(p.reserved) >= maxReserved*float64(len(slots)) {
+		return
+	}
+	var most *slot
+	for _, sl := range slots {
+		if !sl.reserved && t.step.size.Fits(sl.freeSoon()) && sl.mayHold(t, q, p.now) && (most == nil || freeShare(sl) > freeShare(most)) {
+			most = sl
+		}
+	}
+	if most != nil {
+		most.reserved = true
+		p.reserved++
+	}
+}
+
 func (p *pass) placeTask(t *task, slots []*slot, q *Queue) bool {
 	best := p.best(t, slots, q)
 	if best == nil {
