--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
@@ -41,11 +42,15 @@
 // restartPause is the pause before an ended process is started again.
 const restartPause = 200 * time.Millisecond
 
-// freeAddresses returns addresses that nothing listens on.
-func freeAddresses(n int) ([]string, error) {
+// freeAddresses returns addresses that nothing listens on. Each instance of each
+// soak has a loopback address of its own, so that soaks side by side don't take
+// each other's ports before the instance listens (seed 2011).
+func freeAddresses(instance, n int) ([]string, error) {
+	const hosts = 200
+	host := fmt.Sprintf("127.%d.%d.2", 1+os.Getpid()%hosts, 1+instance%hosts)
 	var list []string
 	for range n {
-		l, err := loopback.Listen(loopback.ProcessHost)
+		l, err := loopback.Listen(host)
 		if err != nil {
 			return nil, errors.Wrap(err, "find a free port")
 		}
@@ -55,8 +60,9 @@
 	return list, nil
 }
 
-func newProcess(o Options, name string, cpuShare float64, store *emulator.Store) (*process, error) {
-	addresses, err := freeAddresses(4)
+func newProcess(o Options, number int, cpuShare float64, store *emulator.Store) (*process, error) {
+	name := fmt.Sprintf("inst-%d", number)
+	addresses, err := freeAddresses(number, 4)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -70,7 +70,7 @@
 		if n < 2 {
 			share = 0.8
 		}
-		p, err := newProcess(o, fmt.Sprintf("inst-%d", n), share, s.store)
+		p, err := newProcess(o, n, share, s.store)
 		if err != nil {
 			return s, err
 		}
