soak: no deadlock when a worker restarts

Cause: a new life of an emulated worker closed the old one under the lock of the site, and closing waits for orders under way, whose start asks the site, under the same lock, what its task does. Three soaks by hand hung this way.

Change: the old worker is closed without that lock; one new life of a worker begins at a time.

Product code is unchanged.

--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -39,6 +39,8 @@
 	*emulator.Worker
 	link    *loopback.Link
 	leaving bool
+	// restarting lets one new life begin at a time.
+	restarting sync.Mutex
 }
 
 // soakJob is what a caller knows of its job.
@@ -121,6 +123,9 @@
 
 // startWorker starts a worker, or a new life of one.
 func (s *site) startWorker(n int) error {
+	restarting := &s.workers[n].restarting
+	restarting.Lock()
+	defer restarting.Unlock()
 	id := fmt.Sprintf("i-%d", n)
 	worker := emulator.NewWorker(id, s.runs)
 	link, err := loopback.New(worker.Address(), nil)
@@ -129,12 +134,17 @@
 		return err
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	w := s.workers[n]
-	if w.Worker != nil {
-		w.link.Close()
-		w.Close()
+	old, oldLink := w.Worker, w.link
+	s.mu.Unlock()
+	if old != nil {
+		// Without the lock: closing waits for orders under way, and each start
+		// asks the site what its task does.
+		oldLink.Close()
+		old.Close()
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	w.Worker, w.link, w.leaving = worker, link, false
 	s.list(w, "ready")
 	return nil
