tests: addresses reserved per process; daemon: configuration from the owner

KNOWN-RED entries, causes: - TestFrozenOwner, TestOwnerCutOffFromLog: harnesses chose a free port and bound it later, from the range that outgoing connections and other test processes use. loopback.Listen and ReserveAddresses now hand out ports below that range, each once, on a loopback address that contains the process id. All harnesses use them; their own copies are gone. - TestUnreadableRecordsAndLostHistory: an instance that starts after the configuration record became unreadable had none until the next version. It now asks the owner, which always has one (RPC Configuration).

Tests: TestReservedAddressesStayFree; TestStartWithUnreadableConfiguration (failed before, "submission accepted" not met in 30 s).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,7 +32,7 @@
 	maxPeerConnections = 16
 	peerDialTimeout    = 300 * time.Millisecond
 	// maxPeerMessageBytes limits a message between instances.
-	maxPeerMessageBytes = 64 << 10
+	maxPeerMessageBytes = 1 << 20
 	// readHeaderTimeout limits the time in which a caller sends the headers.
 	readHeaderTimeout = 3 * time.Second
 	idleTimeout       = 60 * time.Second
@@ -78,6 +78,8 @@
 	intake   *intake
 
 	config       atomic.Pointer[scheduler.Config]
+	configMu     sync.Mutex                     // held while a version is put into force
+	configValue  []byte                         // record of the configuration in force
 	owner        atomic.Pointer[pb.OwnerRecord] // newest known owner, nil if none is known
 	storeContact storeContact
 	stopping     atomic.Bool
@@ -168,6 +170,7 @@
 	})
 	group.Go(func() error { i.intake.run(workCtx); return nil })
 	group.Go(func() error { i.watchConfig(workCtx); return nil })
+	group.Go(func() error { i.fetchConfig(workCtx); return nil })
 	group.Go(func() error { i.runElection(ctx, workCtx); return nil })
 	group.Go(func() error {
 		select {
--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -16,6 +16,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"gooseberryreel/internal/emulator"
+	"gooseberryreel/internal/loopback"
 )
 
 // process is one scheduler process of the built binary.
@@ -42,10 +43,12 @@
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
 	endpoint := p.store.Endpoint()
 	for n := range processes {
-		proc := &process{settings: filepath.Join(dir, fmt.Sprintf("%d.json", n)), address: freeAddress(t), ready: freeAddress(t)}
+		addresses, err := loopback.ReserveAddresses(4)
+		qt.Assert(t, err, qt.IsNil)
+		proc := &process{settings: filepath.Join(dir, fmt.Sprintf("%d.json", n)), address: addresses[0], ready: addresses[1]}
 		data, err := json.Marshal(map[string]any{
 			"instance": fmt.Sprintf("inst-%d", n), "region": "r", "failure_domain": "z", "cpu_share": 0.2, "memory_mib": 256,
-			"http_address": proc.address, "ready_address": proc.ready, "metrics_address": freeAddress(t), "peer_address": freeAddress(t),
+			"http_address": proc.address, "ready_address": proc.ready, "metrics_address": addresses[2], "peer_address": addresses[3],
 			"store":  map[string]any{"address": endpoint.Address()},
 			"bounds": map[string]any{"grace_s": 4},
 		})
@@ -58,13 +61,6 @@
 	return p
 }
 
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 func (p *processDeployment) launch(proc *process) {
 	p.t.Helper()
 	proc.cmd = exec.Command(p.binary, "--settings", proc.settings)
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -101,40 +101,6 @@
 	}
 }
 
-// watchConfig applies each version of the configuration until the context ends.
-func (i *Instance) watchConfig(ctx context.Context) {
-	change := func(r store.Record) {
-		if r.Key == platform.ConfigKey && len(r.Value) > 0 {
-			i.applyConfig(r.Value)
-		}
-	}
-	i.watch(ctx, platform.ConfigTopic, 0, func(records []store.Record) {
-		for _, r := range records {
-			change(r)
-		}
-	}, change)
-}
-
-// applyConfig decodes a configuration and puts it into force if it is newer than
-// the current one.
-func (i *Instance) applyConfig(value []byte) {
-	c, err := platform.DecodeConfig(value)
-	if err != nil {
-		i.metrics.unreadable.WithLabelValues(platform.ConfigTopic.Topic).Inc()
-		i.log.WithField("event", "configuration unreadable").WithError(err).Error("configuration")
-		return
-	}
-	if old := i.config.Load(); old != nil && c.Version <= old.Version {
-		return
-	}
-	i.config.Store(c)
-	i.metrics.configVersion.Set(float64(c.Version))
-	i.log.WithField("event", "configuration in force").WithField("version", c.Version).WithField("queues", len(c.Queues)).Info("configuration")
-	if o := i.currentTerm(); o != nil {
-		o.post(func(core *scheduler.Core, _ time.Time) { core.SetConfig(c) })
-	}
-}
-
 // watchWorkers passes the entries of the workers to the core until the context
 // ends.
 func (i *Instance) watchWorkers(ctx context.Context, o *ownerTerm) {
--- a/internal/loopback/proxy.go
+++ b/internal/loopback/proxy.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Mode is how a proxy treats connections and data.
@@ -44,7 +46,7 @@
 // New starts a proxy in Forward mode for the server at an address. If rewrite isn't
 // nil, it is called with each piece of data and whether it goes to the server.
 func New(upstream string, rewrite func([]byte, bool) []byte) (*Proxy, error) {
-	listener, err := Listen(ProxyHost)
+	listener, err := Listen()
 	if err != nil {
 		return nil, err
 	}
@@ -54,28 +56,7 @@
 	return p, nil
 }
 
-// Proxies and processes listen on different loopback addresses. Outgoing
-// connections get local ports on ProxyHost, so none can occupy a port on ProcessHost
-// between its choice and the start of the process that is to listen there.
-const (
-	ProxyHost   = "127.0.0.1"
-	ProcessHost = "127.0.0.2"
-)
-
-// Listen listens on a free port of five digits, so that rewriting addresses in
-// messages doesn't change their length.
-func Listen(host string) (net.Listener, error) {
-	for {
-		listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
-		if err != nil || listener.Addr().(*net.TCPAddr).Port >= 10_000 {
-			return listener, err
-		}
-		defer listener.Close() // keeps the port in use until another is found
-	}
-}
-
-// SetMode changes the mode. When it leaves Refuse, it retries to listen for up to a
-// second, since the port can be in use as the local port of another connection.
+// SetMode changes the mode.
 func (p *Proxy) SetMode(mode Mode) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -90,17 +71,16 @@
 		p.listener = nil
 		return nil
 	}
-	var err error
-	for tries := 0; p.listener == nil && tries < 100; tries++ {
-		p.listener, err = net.Listen("tcp", p.Address)
-		if err == nil {
-			go p.accept(p.listener)
-			return nil
-		}
-		p.listener = nil
-		time.Sleep(10 * time.Millisecond)
+	if p.listener != nil {
+		return nil
+	}
+	listener, err := net.Listen("tcp", p.Address)
+	if err != nil {
+		return errors.Wrap(err, "listen again")
 	}
-	return err
+	p.listener = listener
+	go p.accept(listener)
+	return nil
 }
 
 // CloseConnections closes all open connections. New ones are accepted.
--- a/internal/processtest/harness_test.go
+++ b/internal/processtest/harness_test.go
@@ -181,14 +181,15 @@
 func (h *harness) start(name, domain string, overrides ...func(*pb.EntrySettings)) *process {
 	h.Helper()
 	p := &process{name: name, domain: domain, exited: make(chan struct{})}
-	p.http, p.peer = h.freeAddress(), h.freeAddress()
+	addresses, err := loopback.ReserveAddresses(2)
+	h.Assert(err, qt.IsNil)
+	p.http, p.peer = addresses[0], addresses[1]
 	h.addressBook.add(p)
 	platformServer := httptest.NewServer(&platformProxy{
 		reader: p, addressBook: h.addressBook, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}},
 		logURL: h.platform.LogURL(), listURL: h.platform.ListURL(),
 	})
 	h.Cleanup(platformServer.Close)
-	var err error
 	p.logProxy, err = loopback.New(strings.TrimPrefix(platformServer.URL, "http://"), nil)
 	h.Assert(err, qt.IsNil)
 	h.Cleanup(p.logProxy.Close)
@@ -203,22 +204,6 @@
 	return p
 }
 
-// usedAddresses holds the addresses assigned to processes in this test run, so that
-// parallel tests never share one.
-var usedAddresses sync.Map
-
-func (h *harness) freeAddress() string {
-	for {
-		listener, err := loopback.Listen(loopback.ProcessHost)
-		h.Assert(err, qt.IsNil)
-		defer listener.Close()
-		address := listener.Addr().String()
-		if _, used := usedAddresses.LoadOrStore(address, true); !used {
-			return address
-		}
-	}
-}
-
 // newSettings returns settings with short leases, so that takeovers are quick.
 func (h *harness) newSettings(p *process, overrides []func(*pb.EntrySettings)) *pb.EntrySettings {
 	settings := &pb.EntrySettings{
--- a/internal/processtest/jobs_helpers_test.go
+++ b/internal/processtest/jobs_helpers_test.go
@@ -128,7 +128,7 @@
 
 func (j *jobHarness) addProxy(name, address string) {
 	w := &workerProxy{name: name, workerAddress: address}
-	listener, err := loopback.Listen(loopback.ProxyHost)
+	listener, err := loopback.Listen()
 	j.Assert(err, qt.IsNil)
 	server := httptest.NewUnstartedServer(w)
 	_ = server.Listener.Close()
--- a/internal/processtest/proxies_test.go
+++ b/internal/processtest/proxies_test.go
@@ -12,7 +12,7 @@
 	"gooseberryreel/internal/remote/wire"
 )
 
-var addressPattern = regexp.MustCompile(`127\.0\.0\.[12]:\d{5}`)
+var addressPattern = regexp.MustCompile(`127\.\d+\.\d+\.\d+:\d{5}`)
 
 // addressBook maps addresses to processes: the address of each process, and
 // those of the proxies to it. Each ordered pair of processes has a proxy of its own,
@@ -64,7 +64,7 @@
 // rewriteFor replaces the addresses of processes in data by those of the reader's
 // proxies to them, and addresses of proxies to the reader by its own address.
 func (a *addressBook) rewriteFor(reader *process, data []byte) []byte {
-	if !bytes.Contains(data, []byte("127.0.0.")) {
+	if !bytes.Contains(data, []byte("127.")) {
 		return data
 	}
 	a.mu.Lock()
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -41,27 +41,9 @@
 // restartDelay is the time between the exit of a process and its restart.
 const restartDelay = 200 * time.Millisecond
 
-// freeAddresses returns n addresses that nothing listens on. Each instance of
-// each soak has its own loopback address. Otherwise a soak that runs at the same
-// time could use a port before the instance listens on it (found with seed 2011).
-func freeAddresses(instance, n int) ([]string, error) {
-	const hosts = 200
-	host := fmt.Sprintf("127.%d.%d.2", 1+os.Getpid()%hosts, 1+instance%hosts)
-	var list []string
-	for range n {
-		l, err := loopback.Listen(host)
-		if err != nil {
-			return nil, errors.Wrap(err, "find free port")
-		}
-		defer func() { _ = l.Close() }()
-		list = append(list, l.Addr().String())
-	}
-	return list, nil
-}
-
 func newProcess(o Options, number int, cpuShare float64, store *emulator.Store) (*process, error) {
 	name := fmt.Sprintf("inst-%d", number)
-	addresses, err := freeAddresses(number, 4)
+	addresses, err := loopback.ReserveAddresses(4)
 	if err != nil {
 		return nil, err
 	}
--- a/tools/bench/capacity_deployment.go
+++ b/tools/bench/capacity_deployment.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -15,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"gooseberryreel/internal/loopback"
 	"gooseberryreel/internal/remote"
 	"gooseberryreel/internal/standin"
 )
@@ -55,7 +55,7 @@
 	if _, err := s.publish("team-0", 0); err != nil {
 		return s, err
 	}
-	addresses, err := freeAddresses(2 * layout.instances)
+	addresses, err := loopback.ReserveAddresses(2 * layout.instances)
 	if err != nil {
 		return s, err
 	}
@@ -71,19 +71,6 @@
 	return s, nil
 }
 
-func freeAddresses(n int) ([]string, error) {
-	var found []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Wrap(err, "find a free port")
-		}
-		defer l.Close()
-		found = append(found, l.Addr().String())
-	}
-	return found, nil
-}
-
 func (s *liveDeployment) startEntry(e *liveEntry) error {
 	settings := struct {
 		Instance  string `json:"instance"`
--- a/tools/bench/capacity_live.go
+++ b/tools/bench/capacity_live.go
@@ -18,6 +18,7 @@
 
 	"gooseberryreel/internal/config"
 	"gooseberryreel/internal/events"
+	"gooseberryreel/internal/loopback"
 	"gooseberryreel/internal/pb"
 	"gooseberryreel/internal/standin"
 )
@@ -184,7 +185,7 @@
 	if err := s.platform.SetFaults(standin.NameLog, standin.Faults{Down: true}); err != nil {
 		return 0, errors.Wrap(err, "stop log")
 	}
-	addresses, err := freeAddresses(2)
+	addresses, err := loopback.ReserveAddresses(2)
 	if err != nil {
 		return 0, err
 	}
--- a/tools/demo/site.go
+++ b/tools/demo/site.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -15,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"gooseberryreel/internal/load"
+	"gooseberryreel/internal/loopback"
 	"gooseberryreel/internal/pb"
 	"gooseberryreel/internal/remote"
 	"gooseberryreel/internal/remote/wire"
@@ -45,21 +45,6 @@
 
 func (i *instance) entry() load.Entry { return load.Entry{Domain: i.domain, Address: i.httpAddress} }
 
-// freePorts returns n loopback addresses that nothing listens on. All listeners
-// stay open until the last port is found, so that the addresses differ.
-func freePorts(n int) ([]string, error) {
-	var addresses []string
-	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Wrap(err, "find a free port")
-		}
-		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
-	}
-	return addresses, nil
-}
-
 // startStandin starts the stand-in platform and waits until it listens.
 func (d *demo) startStandin(ctx context.Context) error {
 	ready := filepath.Join(d.dir, "ready.json")
@@ -83,12 +68,12 @@
 			added = append(added, &instance{name: fmt.Sprintf("%s-entry-%d", domain, d.lastNumber[domain]), domain: domain})
 		}
 	}
-	ports, err := freePorts(2 * len(added))
+	addresses, err := loopback.ReserveAddresses(2 * len(added))
 	if err != nil {
 		return nil, err
 	}
 	for n, i := range added {
-		i.httpAddress, i.peerAddress = ports[2*n], ports[2*n+1]
+		i.httpAddress, i.peerAddress = addresses[2*n], addresses[2*n+1]
 	}
 	for _, i := range added {
 		if err := d.startInstance(i); err != nil {
