scheduler: finished rounds stay finished after a takeover

Cause: the record of a finished round holds only its number and that it is done. The next owner rebuilt its steps as not done and placed their tasks again. Found beside it by the new property test: restored tasks that are done were still counted as waiting, and attempts of a done step that had not ended yet were missing from the record.

Change: a restored finished round marks all its tasks done; the counts of waiting tasks follow; a done step or round stays listed while one of its attempts may be running.

--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"gooseberryreel/internal/pb"
@@ -23,12 +24,12 @@
 
 func (r *round) record() *pb.StoredRound {
 	out := &pb.StoredRound{Number: int32(r.number), Done: r.done}
-	if r.done {
+	if r.done && !r.hasAttempts() {
 		return out
 	}
 	for _, s := range r.steps {
 		stored := &pb.StoredStep{Done: s.unfinished == 0}
-		if !stored.Done {
+		if !stored.Done || s.hasAttempts() {
 			for _, t := range s.tasks {
 				stored.Tasks = append(stored.Tasks, t.record())
 			}
@@ -49,18 +50,11 @@
 	return out
 }
 
-func (j *job) hasAttempts() bool {
-	for _, r := range j.rounds {
-		for _, s := range r.steps {
-			for _, t := range s.tasks {
-				if t.assigned() {
-					return true
-				}
-			}
-		}
-	}
-	return false
-}
+func (j *job) hasAttempts() bool { return slices.ContainsFunc(j.rounds, (*round).hasAttempts) }
+
+func (r *round) hasAttempts() bool { return slices.ContainsFunc(r.steps, (*step).hasAttempts) }
+
+func (s *step) hasAttempts() bool { return slices.ContainsFunc(s.tasks, (*task).assigned) }
 
 // Restore adds a job with its stored state, nil if it has none yet. It is called
 // before Start for each job of the intake.
@@ -104,16 +98,19 @@
 		return
 	}
 	r.done = stored.GetDone()
+	if r.done && len(stored.GetSteps()) == 0 {
+		for _, s := range r.steps {
+			s.restoreDone()
+		}
+		return
+	}
 	for i, storedStep := range stored.GetSteps() {
 		if i >= len(r.steps) {
 			break
 		}
 		s := r.steps[i]
-		if storedStep.GetDone() {
-			s.unfinished = 0
-			for _, t := range s.tasks {
-				t.done = true
-			}
+		if storedStep.GetDone() && len(storedStep.GetTasks()) == 0 {
+			s.restoreDone()
 			continue
 		}
 		for n, storedTask := range storedStep.GetTasks() {
@@ -124,11 +121,20 @@
 	}
 }
 
+// restoreDone marks all tasks of a step as done.
+func (s *step) restoreDone() {
+	s.unfinished, s.waiting = 0, 0
+	for _, t := range s.tasks {
+		t.done = true
+	}
+}
+
 func (c *Core) restoreTask(t *task, stored *pb.StoredTask, now time.Time) {
 	t.lastAttempt, t.failures, t.checkpoint = int(stored.GetRun()), int(stored.GetFailures()), stored.GetCheckpoint()
 	if stored.GetDone() {
 		t.done = true
 		t.step.unfinished--
+		t.step.waiting--
 	}
 	for _, a := range stored.GetAttempts() {
 		w := c.worker(a.GetWorker())
--- /dev/null
+++ b/internal/scheduler/records_test.go
@@ -0,0 +1,104 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"gooseberryreel/internal/pb"
+)
+
+// simScheduledJob returns a job whose steps run in several rounds. The first is due
+// after a delay.
+func simScheduledJob(sim *simulation, id int, times int32, delay, interval time.Duration, steps ...*pb.StepSpec) *pb.Submission {
+	sub := simJob(id, steps...)
+	sub.Times, sub.FirstAtMs, sub.IntervalMs = times, sim.now.Add(delay).UnixMilli(), interval.Milliseconds()
+	return sub
+}
+
+// Guards against tasks of a finished round that run again after a takeover: its
+// record does not list its steps.
+func TestFinishedRoundsDoNotRunAgain(t *testing.T) {
+	c := qt.New(t)
+	sim := newSimulation(1, 4)
+	sub := simScheduledJob(sim, 1, 3, 0, 1500*time.Millisecond, simStepSpec(3, 500), simStepSpec(2, 500, 0))
+	sim.submit(sub)
+	for n := range 3 {
+		sim.run(1400 * time.Millisecond)
+		c.Assert(sim.starts, qt.Equals, 5*(n+1))
+		sim.takeOver()
+		sim.run(100 * time.Millisecond)
+	}
+	sim.run(3 * time.Second)
+	c.Check(sim.violations, qt.HasLen, 0)
+	c.Check(sim.starts, qt.Equals, 15)
+	c.Check(sim.core.State(sub.GetId()), qt.Equals, pb.PublicState_PUBLIC_STATE_COMPLETED)
+}
+
+// Guards against a takeover that changes the state of a job: what the new owner
+// would record of each restored job must be what the previous owner recorded, and
+// the counts of tasks must agree with the tasks.
+func TestRestoredStateEqualsRecord(t *testing.T) {
+	c := qt.New(t)
+	for seed := range uint64(12) {
+		checked := 0
+		sim := newSimulation(seed, 6)
+		sim.faults = networkFaults{loseReply: 0.03, late: 0.03, drop: 0.03}
+		sim.taskFor = func(r AttemptID) simTask {
+			return simTask{work: time.Duration(100+(r.Task*37+r.Step*61)%900) * time.Millisecond, fail: (r.Task+r.Number)%13 == 0}
+		}
+		for n := range 120 {
+			sim.injectFault()
+			switch n % 12 {
+			case 0:
+				sim.submit(simJob(n+1, simStepSpec(4, 2500), simStepSpec(3, 1500, 0)))
+			case 4:
+				sim.submit(simScheduledJob(sim, n+1, 3, 500*time.Millisecond, time.Second, simStepSpec(3, 800), simStepSpec(2, 800, 0)))
+			case 8:
+				gang := simStepSpec(3, 900)
+				gang.Gang = true
+				sim.submit(simJob(n+1, gang, simStepSpec(2, 500, 0)))
+			}
+			if n%40 == 39 {
+				sim.cancel(sim.subs[len(sim.subs)-1].GetId())
+			}
+			sim.run(100 * time.Millisecond)
+			checked += sim.checkRestore(c)
+		}
+		c.Check(checked > 500, qt.IsTrue, qt.Commentf("only %d records were checked", checked))
+	}
+}
+
+// checkRestore restores each recorded job in a new core and returns their number.
+func (sim *simulation) checkRestore(c *qt.C) int {
+	core := New(Options{Epoch: sim.epoch + 1, Lease: 6 * time.Second, HarmLimit: 4 * time.Second, Retention: time.Hour}, sim.now)
+	core.SetConfig(sim.config)
+	for _, sub := range sim.subs {
+		stored := sim.recorded[sub.GetId()]
+		if stored == nil {
+			continue
+		}
+		core.Restore(sub, stored, sim.now)
+		j := core.jobs[sub.GetId()]
+		again := j.record()
+		again.EndedMs = stored.GetEndedMs() // retention starts anew after a takeover
+		c.Check(proto.Equal(again, stored), qt.IsTrue, qt.Commentf("recorded %v, restored %v", stored, again))
+		for _, r := range j.rounds {
+			for _, s := range r.steps {
+				unfinished, waiting := 0, 0
+				for _, t := range s.tasks {
+					if !t.done {
+						unfinished++
+						if !t.assigned() {
+							waiting++
+						}
+					}
+				}
+				c.Check([]int{s.unfinished, s.waiting}, qt.DeepEquals, []int{unfinished, waiting}, qt.Commentf("job %s, round %d, step %d", sub.GetId(), r.number, s.index))
+			}
+		}
+	}
+	return len(core.jobs)
+}
--- a/internal/scheduler/schedule_test.go
+++ b/internal/scheduler/schedule_test.go
@@ -81,6 +81,9 @@
 		if n%8 == 0 && n < 240 {
 			sim.submit(simJob(n+1, simStepSpec(4, 2500), simStepSpec(3, 1500, 0)))
 		}
+		if n%48 == 4 && n < 240 {
+			sim.submit(simScheduledJob(sim, n+1, 3, time.Second, 2*time.Second, simStepSpec(3, 1500), simStepSpec(2, 1500, 0)))
+		}
 		if n%56 == 0 && n > 0 {
 			sim.cancel(fmt.Sprintf("%016x", n+1))
 		}
