relay: the calls to workers are shared out to other instances

Change: new package internal/relay. Every instance offers itself to the owner over one drpc stream; the owner assigns workers to the offered relays (large machines first, own failure domain first, by room per core) and sends their commands in batches; results come back in batches. Decisions stay with the owner. A relay keeps no state: token, absolute lease and attempt number are the owner's, and commands over 1 s old by the relay's own echoed clock are not carried out. On sites that fit the owner's share nothing changes hands. Commands to the owner's own workers use the same Executor. The core ticks at most every 5 ms, since each tick visits all workers and attempts.

Settings: relay.owner_workers_per_core, relay.relay_workers_per_core. Metrics relays_connected, owner_workers; log lines "relays", "relay lost", "workers moved between relays", "relay session ends".

Tests: internal/relay (assignment, 200 random schedules; relay killed, paused, connected twice, leaving, cut off from a worker, idle; owner that may not act). The paused relay carries out its old hold with the age limit off. The tests of internal/daemon and the soak now run all commands through relays.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 
 	"gooseberryreel/internal/pb"
 	"gooseberryreel/internal/peer"
+	"gooseberryreel/internal/relay"
 	"gooseberryreel/internal/scheduler"
 	"gooseberryreel/internal/store"
 	"gooseberryreel/platform"
@@ -51,15 +52,10 @@
 	DroppedLines *DroppedLineCounter
 	// Store, WorkerClient and Advice default to the platform's clients.
 	Store        store.Store
-	WorkerClient WorkerClient
+	WorkerClient relay.WorkerClient
 	Advice       AdviceClient
 }
 
-// WorkerClient sends commands to workers.
-type WorkerClient interface {
-	Do(ctx context.Context, o scheduler.Command) scheduler.CommandResult
-}
-
 // AdviceClient sends requests to the advice service.
 type AdviceClient interface {
 	RequestAdvice(ctx context.Context, a scheduler.AdviceRequest) scheduler.AdviceResult
@@ -70,7 +66,7 @@
 	settings *pb.SchedulerSettings
 	log      *logrus.Entry
 	store    store.Store
-	workers  WorkerClient
+	executor *relay.Executor // makes the calls to workers
 	advice   AdviceClient
 	pool     *peer.Pool
 	metrics  *metrics
@@ -81,6 +77,7 @@
 	configMu     sync.Mutex                     // held while a version is put into force
 	configValue  []byte                         // record of the configuration in force
 	owner        atomic.Pointer[pb.OwnerRecord] // newest known owner, nil if none is known
+	ownerChanged chan struct{}                  // receives after owner has changed
 	storeContact storeContact
 	stopping     atomic.Bool
 
@@ -94,17 +91,18 @@
 // one of its addresses.
 func New(o Options) (*Instance, error) {
 	s := o.Settings
-	i := &Instance{settings: s, log: o.Logger, store: o.Store, workers: o.WorkerClient, advice: o.Advice, registry: prometheus.NewRegistry()}
+	i := &Instance{settings: s, log: o.Logger, store: o.Store, advice: o.Advice, registry: prometheus.NewRegistry(), ownerChanged: make(chan struct{}, 1)}
 	if i.store == nil {
 		i.store = platform.NewStoreClient(s.GetStore().GetAddress())
 	}
-	if i.workers == nil {
-		i.workers = platform.NewWorkerClient()
+	if o.WorkerClient == nil {
+		o.WorkerClient = platform.NewWorkerClient()
 	}
 	if i.advice == nil {
 		i.advice = platform.NewAdviceClient(s.GetAdviceAddress())
 	}
 	i.metrics = newMetrics(i.registry, o.DroppedLines)
+	i.executor = &relay.Executor{Client: o.WorkerClient, Observe: i.metrics.observeCommand}
 	i.store = &observedStore{next: i.store, instance: i}
 	i.intake = newIntake(i)
 	i.pool = peer.NewPool(peer.Options{MaxConnections: maxPeerConnections, DialTimeout: peerDialTimeout, MaxMessageBytes: maxPeerMessageBytes})
@@ -172,6 +170,7 @@
 	group.Go(func() error { i.watchConfig(workCtx); return nil })
 	group.Go(func() error { i.fetchConfig(workCtx); return nil })
 	group.Go(func() error { i.runElection(ctx, workCtx); return nil })
+	group.Go(func() error { i.relayForOwners(ctx, workCtx); return nil })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -79,7 +79,9 @@
 	settings := &pb.SchedulerSettings{
 		Instance: name, Region: "r", FailureDomain: "z", HttpAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0",
 		MetricsAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", CpuShare: cpuShare, MemoryMib: 256,
-		Store:  &pb.StoreSettings{Address: endpoint.Address()},
+		Store: &pb.StoreSettings{Address: endpoint.Address()},
+		// The owner has no room, so all commands go through relays if there are any.
+		Relay:  &pb.RelaySettings{OwnerWorkersPerCore: 1, RelayWorkersPerCore: 1000},
 		Bounds: &pb.SiteBounds{LeaseMs: 6000, HarmMs: 4000, StatusS: 120, GraceS: 2},
 	}
 	logger := logrus.New()
--- a/internal/daemon/election.go
+++ b/internal/daemon/election.go
@@ -181,6 +181,10 @@
 		return
 	}
 	i.owner.Store(o)
+	select {
+	case i.ownerChanged <- struct{}{}:
+	default:
+	}
 	i.log.WithField("event", "owner").WithField("owner", o.GetInstance()).WithField("epoch", o.GetEpoch()).
 		WithField("before", previous.GetInstance()).Info("membership")
 }
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -2,8 +2,11 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"gooseberryreel/internal/scheduler"
 )
 
 // DroppedLineCounter counts dropped log lines. It is safe for concurrent use.
@@ -22,6 +25,8 @@
 	commandSeconds *prometheus.HistogramVec
 	commitSeconds  prometheus.Histogram
 	owner          prometheus.Gauge
+	relays         *prometheus.GaugeVec
+	ownWorkers     prometheus.Gauge
 	configVersion  prometheus.Gauge
 }
 
@@ -51,10 +56,14 @@
 		commitSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "store_commit_seconds", Help: "Time until the store has confirmed a batch of decisions.", Buckets: latencyBuckets,
 		}),
+		relays: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "relays_connected", Help: "Relays that are connected to this instance while it is the owner, by whether they serve workers.",
+		}, []string{"state"}),
+		ownWorkers:    prometheus.NewGauge(prometheus.GaugeOpts{Name: "owner_workers", Help: "Workers that the owner serves itself."}),
 		owner:         prometheus.NewGauge(prometheus.GaugeOpts{Name: "ownership_held", Help: "1 while this instance owns the job state."}),
 		configVersion: prometheus.NewGauge(prometheus.GaugeOpts{Name: "config_version", Help: "Version of the configuration in force."}),
 	}
-	r.MustRegister(m.calls, m.storeCalls, m.unreadable, m.claims, m.commands, m.commandSeconds, m.commitSeconds, m.owner, m.configVersion)
+	r.MustRegister(m.calls, m.storeCalls, m.unreadable, m.claims, m.commands, m.commandSeconds, m.commitSeconds, m.relays, m.ownWorkers, m.owner, m.configVersion)
 	if dropped != nil {
 		r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "log_dropped_lines_total", Help: "Log lines dropped under load.",
@@ -62,3 +71,24 @@
 	}
 	return m
 }
+
+// observeCommand counts a command that was sent to a worker.
+func (m *metrics) observeCommand(r scheduler.CommandResult, took time.Duration) {
+	kind := r.Command.Kind.String()
+	m.commandSeconds.WithLabelValues(kind).Observe(took.Seconds())
+	m.commands.WithLabelValues(kind, resultLabel(r)).Inc()
+}
+
+// resultLabel returns the value of the metrics' result label.
+func resultLabel(r scheduler.CommandResult) string {
+	switch {
+	case r.NotSent:
+		return "not_sent"
+	case r.Err != nil:
+		return "unknown"
+	case r.Refused != scheduler.RefusedNone:
+		return r.Refused.String()
+	default:
+		return "ok"
+	}
+}
--- a/internal/daemon/owner_term.go
+++ b/internal/daemon/owner_term.go
@@ -12,6 +12,7 @@
 
 	"gooseberryreel/internal/leader"
 	"gooseberryreel/internal/pb"
+	"gooseberryreel/internal/relay"
 	"gooseberryreel/internal/scheduler"
 	"gooseberryreel/internal/store"
 )
@@ -19,6 +20,9 @@
 const (
 	// tickInterval is the interval of the core's ticks, which advance its time.
 	tickInterval = 25 * time.Millisecond
+	// minTickInterval is the shortest time between two ticks. A tick visits all
+	// workers and attempts, and results arrive more often than that.
+	minTickInterval = 5 * time.Millisecond
 	// minBatchInterval is the shortest time between two appends of the owner. A
 	// longer interval delays starts, a shorter one makes more calls to the store.
 	minBatchInterval = 12 * time.Millisecond
@@ -49,7 +53,7 @@
 	end      context.CancelFunc // cancels ctx
 	ctx      context.Context
 
-	commands *commandQueues
+	router *relay.Router
 
 	committedEnd atomic.Int64 // end offset of the job topic after the newest append
 
@@ -90,7 +94,9 @@
 		sequence: 1, intakeCursors: s.intakeEnd,
 	}
 	o.committedEnd.Store(s.end)
-	o.commands = newCommandQueues(o)
+	o.router = relay.NewRouter(ctx, relay.RouterOptions{
+		Token: o.epoch, Limits: i.relayLimits(), CPUMilli: i.cpuMilli(), Executor: i.executor, MayAct: o.mayAct, Deliver: o.deliver, Log: i.log,
+	})
 	i.setCurrentTerm(o)
 	var group sync.WaitGroup
 	run := func(f func()) {
@@ -103,6 +109,7 @@
 		run(func() { o.consumeIntake(store.Partition{Topic: intakeTopic, Number: n}) })
 	}
 	run(func() { o.trimPeriodically() })
+	run(func() { o.maintainRelays() })
 	run(func() { o.waitForEarlierOwners(s.owner) })
 	go func() {
 		select {
@@ -229,8 +236,9 @@
 func (o *ownerTerm) loop() {
 	core := o.core
 	core.Start(time.Now())
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
+	lastTick := time.Now()
+	timer := time.NewTimer(tickInterval)
+	defer timer.Stop()
 	for {
 		o.sendOutput()
 		select {
@@ -240,9 +248,17 @@
 			now := time.Now()
 			f(core, now)
 			o.handleQueued(now)
+			if wait := minTickInterval - now.Sub(lastTick); wait > 0 {
+				timer.Reset(wait)
+				break
+			}
+			lastTick = now
 			core.Tick(now)
-		case now := <-ticker.C:
+			timer.Reset(tickInterval)
+		case now := <-timer.C:
+			lastTick = now
 			core.Tick(now)
+			timer.Reset(tickInterval)
 		}
 		if core.Fenced() {
 			o.endTerm("a worker has refused a command because of a newer owner")
@@ -274,9 +290,7 @@
 	for _, entry := range out.LogEntries {
 		o.instance.logDecision(entry)
 	}
-	for _, command := range out.Commands {
-		o.commands.add(command)
-	}
+	o.router.Send(out.Commands)
 	for _, a := range out.AdviceRequests {
 		go func() {
 			result := o.instance.advice.RequestAdvice(o.ctx, a)
--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -50,6 +50,7 @@
 			"instance": fmt.Sprintf("inst-%d", n), "region": "r", "failure_domain": "z", "cpu_share": 0.2, "memory_mib": 256,
 			"http_address": proc.address, "ready_address": proc.ready, "metrics_address": addresses[2], "peer_address": addresses[3],
 			"store":  map[string]any{"address": endpoint.Address()},
+			"relay":  map[string]any{"owner_workers_per_core": 1, "relay_workers_per_core": 1000},
 			"bounds": map[string]any{"grace_s": 4},
 		})
 		qt.Assert(t, err, qt.IsNil)
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -120,6 +120,7 @@
 		o.post(func(c *scheduler.Core, now time.Time) { c.SetWorker(entry, now) })
 	}
 	i.watch(ctx, platform.WorkerTopic, workerReadInterval, func(records []store.Record) {
+		o.router.ExpectWorkers(len(records))
 		present := make(map[string]bool, len(records))
 		for _, r := range records {
 			present[r.Key] = true
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -63,7 +63,7 @@
 	checkpoint := s.checkpointFor(a.task)
 	a.durationUsable = checkpoint == ""
 	c.out.Commands = append(c.out.Commands, Command{
-		Kind: CommandStart, Worker: w.id, Address: w.entry.Address, Token: c.opts.Epoch, AttemptID: a.attemptID, Lease: lease,
+		Kind: CommandStart, Worker: w.id, Address: w.entry.Address, Domain: w.entry.Zone, Token: c.opts.Epoch, AttemptID: a.attemptID, Lease: lease,
 		Payload: a.job().sub.GetPayload(), Checkpoint: checkpoint, Ticket: s.ticketFor(w), SentAt: now,
 	})
 }
@@ -101,7 +101,7 @@
 	}
 	w.commandsInFlight++
 	c.out.Commands = append(c.out.Commands, Command{
-		Kind: CommandStop, Worker: w.id, Address: w.entry.Address, Token: c.opts.Epoch, AttemptID: a.attemptID, SentAt: now,
+		Kind: CommandStop, Worker: w.id, Address: w.entry.Address, Domain: w.entry.Zone, Token: c.opts.Epoch, AttemptID: a.attemptID, SentAt: now,
 	})
 }
 
@@ -277,7 +277,7 @@
 	if t == nil {
 		w.commandsInFlight++
 		c.out.Commands = append(c.out.Commands, Command{
-			Kind: CommandStop, Worker: w.id, Address: w.entry.Address, Token: c.opts.Epoch, AttemptID: attemptID, SentAt: now,
+			Kind: CommandStop, Worker: w.id, Address: w.entry.Address, Domain: w.entry.Zone, Token: c.opts.Epoch, AttemptID: attemptID, SentAt: now,
 		})
 		return nil
 	}
--- a/internal/scheduler/interference.go
+++ b/internal/scheduler/interference.go
@@ -267,6 +267,6 @@
 	a.speed, a.speedSetAt, a.speedPending, a.durationUsable = percent, now, true, false
 	w.commandsInFlight++
 	c.out.Commands = append(c.out.Commands, Command{
-		Kind: CommandThrottle, Worker: w.id, Address: w.entry.Address, Token: c.opts.Epoch, AttemptID: a.attemptID, Percent: percent, SentAt: now,
+		Kind: CommandThrottle, Worker: w.id, Address: w.entry.Address, Domain: w.entry.Zone, Token: c.opts.Epoch, AttemptID: a.attemptID, Percent: percent, SentAt: now,
 	})
 }
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -232,7 +232,8 @@
 	Kind      CommandKind
 	Worker    string
 	Address   string
-	Token     int64 // fencing token
+	Domain    string // failure domain of the worker
+	Token     int64  // fencing token
 	AttemptID AttemptID
 	// Lease is the time on the worker's clock until which everything there may
 	// run, zero to leave the lease as it is.
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -198,7 +198,7 @@
 
 // sendHold sends the next hold to a worker.
 func (c *Core) sendHold(w *worker, now time.Time) {
-	o := Command{Kind: CommandHold, Worker: w.id, Address: w.entry.Address, Token: c.opts.Epoch, SentAt: now}
+	o := Command{Kind: CommandHold, Worker: w.id, Address: w.entry.Address, Domain: w.entry.Zone, Token: c.opts.Epoch, SentAt: now}
 	if w.silentSince.IsZero() || c.disabled.keepCursor {
 		// After a call without an answer the worker may have restarted. It then
 		// numbers its ends from 1 again, and the old cursor would make it discard
--- a/internal/settings/rules.go
+++ b/internal/settings/rules.go
@@ -116,6 +116,9 @@
 	"SchedulerSettings.memory_mib":      requiredNumber(1, maxCount),
 	"SchedulerSettings.advice_address":  {checkText: checkOptionalAddress},
 
+	"RelaySettings.owner_workers_per_core": optionalNumber(300, 1, maxCount),
+	"RelaySettings.relay_workers_per_core": optionalNumber(150, 1, maxCount),
+
 	"StoreSettings.address":          requiredText(checkDialAddress),
 	"StoreSettings.min_group_ttl_ms": optionalNumber(secondMS, 1, hourMS),
 	"StoreSettings.partitions":       optionalNumber(16, 1, 1024),
