relay: the payload of a job is sent to a relay once

Change: owner and relay keep the payloads of the last 256 jobs started over their stream, with the same changes in the same order; further starts of a job refer to it.

--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -54,6 +54,7 @@
 	inFlight  map[int64]scheduler.Command // also those in the queue
 	busySince time.Time                   // since when commands are in flight
 	newest    int64                       // number of the newest command
+	payloads  *payloadCache               // what the relay has received
 	clockMs   int64                       // newest reading of the relay's clock
 	reported  time.Time                   // when the newest report arrived
 	asked     time.Time                   // when a report was last asked for
@@ -73,7 +74,7 @@
 	}
 	l := &link{
 		offer:  Offer{Instance: offer.GetInstance(), Domain: offer.GetFailureDomain(), CPUMilli: offer.GetCpuMilli()},
-		router: r, wake: make(chan struct{}, 1), closed: make(chan struct{}), inFlight: make(map[int64]scheduler.Command),
+		router: r, wake: make(chan struct{}, 1), closed: make(chan struct{}), inFlight: make(map[int64]scheduler.Command), payloads: newPayloadCache(),
 		clockMs: first.GetClockMs(), reported: time.Now(),
 	}
 	r.add(l)
@@ -141,7 +142,9 @@
 	}
 	l.newest++
 	l.inFlight[l.newest] = c
-	l.queue = append(l.queue, encodeCommand(l.newest, c))
+	message := encodeCommand(l.newest, c)
+	l.payloads.strip(message)
+	l.queue = append(l.queue, message)
 	l.mu.Unlock()
 	l.wakeSender()
 }
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -144,6 +144,7 @@
 // receive carries out commands until the stream fails. sessionCtx ends with the
 // session.
 func (s *Session) receive(callCtx, sessionCtx context.Context, stream RelayStream) error {
+	payloads := newPayloadCache()
 	for {
 		batch, err := stream.Recv()
 		if err != nil {
@@ -159,6 +160,9 @@
 		deadline := milliseconds(batch.GetEchoedClockMs()) + maxCommandAge
 		allowed := func() bool { return sessionCtx.Err() == nil && (s.Clock() <= deadline || s.ignoreAge) }
 		for _, c := range batch.GetCommands() {
+			if err := payloads.restore(c); err != nil {
+				return err
+			}
 			number := c.GetNumber()
 			s.Executor.Add(callCtx, decodeCommand(batch.GetToken(), c), allowed, func(r scheduler.CommandResult) { s.done(number, r) })
 		}
