scheduler: the cost of a pass no longer grows with tasks times workers

Cause: each task of a step scanned all workers, each pass rebuilt all candidates (66 passes a second), and each pass and tick visited all attempts to find stalled ones and unanswered commands.

Change: the workers are ranked once for a step and only the chosen one is ranked again (best.go; same choice as the scan); candidates are kept while nothing changes on their worker, for 250 ms at most; the searches run every 100 and 50 ms.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -14,6 +14,9 @@
 	// startTimeout is how long a start may stay without an answer before its
 	// attempt is stopped. It is longer than the timeout of the call.
 	startTimeout = 2 * time.Second
+	// attemptCheckInterval is the shortest time between two searches for stops and
+	// starts without an answer.
+	attemptCheckInterval = 50 * time.Millisecond
 )
 
 // addAttempt adds an attempt at a task that may be active on a worker, and charges
@@ -108,6 +111,10 @@
 // tickAttempts repeats unanswered stops, and stops attempts whose start was not
 // answered in time.
 func (c *Core) tickAttempts(now time.Time) {
+	if now.Sub(c.attemptsCheckedAt) < attemptCheckInterval {
+		return
+	}
+	c.attemptsCheckedAt = now
 	for _, w := range c.workerList {
 		for _, a := range w.list {
 			switch {
@@ -223,6 +230,7 @@
 // reconcileActive compares the active attempts that a worker lists with those
 // expected there.
 func (c *Core) reconcileActive(w *worker, hold *HoldReply, sentAt, now time.Time) {
+	w.changed = true
 	listed := make(map[AttemptID]bool, len(hold.Active))
 	for i := range hold.Active {
 		row := &hold.Active[i]
--- /dev/null
+++ b/internal/scheduler/best.go
@@ -0,0 +1,119 @@
+package scheduler
+
+import "container/heap"
+
+// best returns the worker with the lowest cost that can start a task, nil if there
+// is none.
+func (p *pass) best(t *task, candidates []*candidate, q *Queue) *candidate {
+	var found *candidate
+	lowest := 0.0
+	for _, cand := range candidates {
+		if cost, ok := p.costIfFits(t, cand, q); ok && (found == nil || cost < lowest) {
+			found, lowest = cand, cost
+		}
+	}
+	return found
+}
+
+// costIfFits returns the cost of a worker for a task, and false if it can't start
+// the task.
+func (p *pass) costIfFits(t *task, cand *candidate, q *Queue) (float64, bool) {
+	if !cand.fits(t, q, p.now) {
+		return 0, false
+	}
+	return p.cost(t, cand)
+}
+
+// ranking orders the workers that can start the tasks of one step by their costs.
+// The tasks of a step differ only in the worker that they avoid, so that a placement
+// changes the cost of one worker, and a step of many tasks needs no scan of all
+// workers for each of them.
+type ranking struct {
+	pass    *pass
+	step    *step
+	queue   *Queue
+	entries []rankedCandidate // a heap
+	starved bool              // of the step when the costs were computed
+}
+
+// rankedCandidate is a worker with its cost for the step. Workers of equal cost keep
+// the order of the candidates.
+type rankedCandidate struct {
+	*candidate
+	cost  float64
+	order int
+}
+
+// newRanking computes the costs of all candidates for the tasks of a step that avoid
+// no worker.
+func (p *pass) newRanking(s *step, candidates []*candidate, q *Queue) *ranking {
+	r := &ranking{pass: p, step: s, queue: q, starved: s.starved(p.now)}
+	t := &task{step: s}
+	for n, cand := range candidates {
+		cand.position = -1
+		if cost, ok := p.costIfFits(t, cand, q); ok {
+			cand.position = len(r.entries)
+			r.entries = append(r.entries, rankedCandidate{cand, cost, n})
+		}
+	}
+	heap.Init(r)
+	return r
+}
+
+// best returns the worker with the lowest cost, nil if there is none.
+func (r *ranking) best() *candidate {
+	if len(r.entries) == 0 {
+		return nil
+	}
+	return r.entries[0].candidate
+}
+
+// update recomputes the cost of a worker after a placement there. It returns false
+// if the costs of other workers have changed as well.
+func (r *ranking) update(cand *candidate) bool {
+	if r.starved {
+		return false // a step with an attempt is not starved
+	}
+	n := cand.position
+	if n < 0 {
+		return true
+	}
+	cost, ok := r.pass.costIfFits(&task{step: r.step}, cand, r.queue)
+	if !ok {
+		heap.Remove(r, n)
+		return true
+	}
+	r.entries[n].cost = cost
+	heap.Fix(r, n)
+	return true
+}
+
+// Len implements heap.Interface.
+func (r *ranking) Len() int { return len(r.entries) }
+
+// Less implements heap.Interface.
+func (r *ranking) Less(i, j int) bool {
+	a, b := &r.entries[i], &r.entries[j]
+	return a.cost < b.cost || a.cost == b.cost && a.order < b.order
+}
+
+// Swap implements heap.Interface.
+func (r *ranking) Swap(i, j int) {
+	r.entries[i], r.entries[j] = r.entries[j], r.entries[i]
+	r.entries[i].position, r.entries[j].position = i, j
+}
+
+// Push implements heap.Interface.
+func (r *ranking) Push(x any) {
+	e := x.(rankedCandidate)
+	e.position = len(r.entries)
+	r.entries = append(r.entries, e)
+}
+
+// Pop implements heap.Interface.
+func (r *ranking) Pop() any {
+	last := r.entries[len(r.entries)-1]
+	r.entries = r.entries[:len(r.entries)-1]
+	last.position = -1
+	return last
+}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -139,9 +139,13 @@
 	planDue         bool
 	plannedAt       time.Time // newest placement pass
 	summarizedAt    time.Time
-	fenced          bool
-	out             Output
-	disabled        disabledRules
+	// attemptsCheckedAt and stalledCheckedAt are when all attempts were last visited
+	// for these checks.
+	attemptsCheckedAt time.Time
+	stalledCheckedAt  time.Time
+	fenced            bool
+	out               Output
+	disabled          disabledRules
 }
 
 // disabledRules disables single mechanisms, so that tests can show which failure
--- a/internal/scheduler/feasibility.go
+++ b/internal/scheduler/feasibility.go
@@ -20,6 +20,8 @@
 	// reserved is set if the worker is reserved for a starving task that does not
 	// fit yet.
 	reserved bool
+	// position is the candidate's index in the current ranking, -1 if it is not in it.
+	position int
 }
 
 // predicted is the expected utilization of the services of one image on a worker.
@@ -29,16 +31,30 @@
 	limit float64 // at which a service just meets its target
 }
 
-func newCandidate(w *worker, model *interference.LatencyModel) *candidate {
-	cand := &candidate{worker: w, model: model}
-	cand.update()
-	return cand
+// maxCandidateAge is the age from which a candidate is recomputed although nothing
+// has changed on its worker, so that it follows what the model learns elsewhere.
+const maxCandidateAge = 250 * time.Millisecond
+
+// candidate returns the worker's candidate for a pass. It is kept over passes while
+// nothing changes on the worker: there are many passes a second, and on a large site
+// each of them concerns few workers.
+func (w *worker) candidate(model *interference.LatencyModel, now time.Time) *candidate {
+	if w.kept == nil {
+		w.kept = &candidate{worker: w, model: model}
+	}
+	if w.changed || now.Sub(w.keptAt) >= maxCandidateAge {
+		w.keptAt = now
+		w.kept.update()
+	}
+	w.kept.reserved = false
+	return w.kept
 }
 
-// update recomputes the candidate after a placement on its worker.
+// update recomputes the candidate after a placement or another change on its worker.
 func (cand *candidate) update() {
+	cand.worker.changed = false
 	cand.free = cand.worker.free()
-	cand.load = loadOf(cand.worker)
+	cand.load = loadOf(cand.worker, cand.load.fillers)
 	cand.services, cand.overTarget = cand.services[:0], false
 	if cand.worker.services == 0 {
 		return
--- a/internal/scheduler/interference.go
+++ b/internal/scheduler/interference.go
@@ -35,8 +35,9 @@
 	fillers []interference.Share // CPU share of each image at full speed
 }
 
-func loadOf(w *worker) load {
-	var l load
+// loadOf returns the load of a worker. It reuses the memory of fillers.
+func loadOf(w *worker, fillers []interference.Share) load {
+	l := load{fillers: fillers[:0]}
 	for _, a := range w.list {
 		s := a.step()
 		switch {
@@ -264,6 +265,7 @@
 	if a.speedPending || percent == a.confirmedSpeed || w.entry.Address == "" {
 		return
 	}
+	w.changed = true
 	a.speed, a.speedSetAt, a.speedPending, a.durationUsable = percent, now, true, false
 	w.commandsInFlight++
 	c.out.Commands = append(c.out.Commands, Command{
--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -12,6 +12,9 @@
 	// maxLostPercent is the progress that a task without checkpoints may lose in an
 	// eviction.
 	maxLostPercent = 30
+	// stalledCheckInterval is the shortest time between two searches for stalled
+	// attempts.
+	stalledCheckInterval = 100 * time.Millisecond
 	// stayPercent is the progress from which a task stays on a draining worker,
 	// which continues to run for seconds.
 	stayPercent = 50
@@ -61,11 +64,15 @@
 // replaceStalled stops stalled attempts, so that they are restarted elsewhere, and
 // counts them against the health of their workers.
 func (c *Core) replaceStalled(now time.Time) {
+	if now.Sub(c.stalledCheckedAt) < stalledCheckInterval {
+		return
+	}
+	c.stalledCheckedAt = now
 	for _, w := range c.workerList {
 		if !w.silentSince.IsZero() {
 			continue
 		}
-		for _, a := range slices.Clone(w.list) {
+		for _, a := range w.list { // a stop leaves the attempt in the list
 			if a.step().spec.GetGang() || !a.stalled(now) {
 				continue
 			}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -98,7 +98,7 @@
 	if !found {
 		for _, w := range p.core.workerList {
 			if w.entry.Pool == name && w.usable(p.now) {
-				candidates = append(candidates, newCandidate(w, p.core.model))
+				candidates = append(candidates, w.candidate(p.core.model, p.now))
 			}
 		}
 		p.pools[name] = candidates
@@ -130,13 +130,28 @@
 		return
 	}
 	placed := 0
+	var ranked *ranking // nil while it has to be computed
 	for _, t := range s.tasks {
 		if t.done || t.assigned() || p.now.Before(t.notBefore) || r.starving && !t.starving(p.now) {
 			continue
 		}
-		if !p.placeTask(t, candidates, q) {
+		if ranked == nil {
+			ranked = p.newRanking(s, candidates, q)
+		}
+		best := ranked.best()
+		if best != nil && t.avoid != "" {
+			best = p.best(t, candidates, q)
+		}
+		if best != nil {
+			p.core.place(t, best.worker, t.lastAttempt+1, p.now)
+			best.update()
+			if !ranked.update(best) {
+				ranked = nil
+			}
+		} else {
 			if r.starving {
 				p.reserve(t, candidates, q)
+				ranked = nil
 				continue
 			}
 			if cacheable {
@@ -177,16 +192,6 @@
 	}
 }
 
-func (p *pass) placeTask(t *task, candidates []*candidate, q *Queue) bool {
-	best := p.best(t, candidates, q)
-	if best == nil {
-		return false
-	}
-	p.core.place(t, best.worker, t.lastAttempt+1, p.now)
-	best.update()
-	return true
-}
-
 // placeGang places all tasks of a gang or none.
 func (p *pass) placeGang(s *step, candidates []*candidate, q *Queue) {
 	number := 0
--- a/internal/scheduler/ranking.go
+++ b/internal/scheduler/ranking.go
@@ -36,23 +36,6 @@
 	fillerMaxUse = 1.0
 )
 
-// best returns the worker with the lowest cost that can start a task, nil if there
-// is none.
-func (p *pass) best(t *task, candidates []*candidate, q *Queue) *candidate {
-	var found *candidate
-	lowest := 0.0
-	for _, cand := range candidates {
-		if !cand.fits(t, q, p.now) {
-			continue
-		}
-		cost, ok := p.cost(t, cand)
-		if ok && (found == nil || cost < lowest) {
-			found, lowest = cand, cost
-		}
-	}
-	return found
-}
-
 // cost scores a worker for a task; lower is better. It returns false if the task
 // must not run there.
 func (p *pass) cost(t *task, cand *candidate) (float64, bool) {
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -38,6 +38,10 @@
 	taskFor        func(attemptID AttemptID) simTask
 	starts         int
 	replacedOwners []*replacedOwner
+	byID           map[string]*simWorker
+	// unchecked leaves out the checks of each start and the trace.
+	unchecked bool
+	coreTime  time.Duration // processor time of the core
 }
 
 // replacedOwner is an earlier owner with commands that it has not sent yet.
@@ -101,14 +105,14 @@
 func newSimulation(seed uint64, workers int) *simulation {
 	sim := &simulation{
 		rng: rand.New(rand.NewPCG(seed, 7)), now: time.UnixMilli(1_700_000_000_000), recorded: make(map[string]*pb.StoredJob),
-		runningOn: make(map[string]map[string]AttemptID), discardedDone: make(map[string]bool),
+		byID: make(map[string]*simWorker), runningOn: make(map[string]map[string]AttemptID), discardedDone: make(map[string]bool),
 		taskFor: func(AttemptID) simTask { return simTask{work: 400 * time.Millisecond} },
 		config:  &Config{Version: 1, Queues: []Queue{{Name: "q", Pool: "s", MaxAttempts: 3, Stretch: 2, Allowance: time.Second}}},
 	}
 	for n := range workers {
 		sw := &simWorker{sim: sim, id: fmt.Sprintf("w%d", n), clockRate: 1 - 0.02*sim.rng.Float64(), capacity: Resources{8000, 16000, 0}, listed: true, rack: fmt.Sprintf("r%d", n/2)}
 		sw.restart()
-		sim.workers = append(sim.workers, sw)
+		sim.workers, sim.byID[sw.id] = append(sim.workers, sw), sw
 	}
 	sim.takeOver()
 	return sim
@@ -210,7 +214,7 @@
 		sw.advance()
 	}
 	core := sim.core
-	core.Tick(sim.now)
+	sim.measure(func() { core.Tick(sim.now) })
 	sim.commit()
 	out := core.TakeOutput()
 	for _, n := range out.LogEntries {
@@ -229,31 +233,35 @@
 		for _, j := range b.Jobs {
 			sim.recorded[j.GetId()] = proto.CloneOf(j)
 		}
-		sim.core.Committed(b, sim.now)
+		sim.measure(func() { sim.core.Committed(b, sim.now) })
 	}
 	if sim.committing == nil {
-		if b := sim.core.TakeBatch(sim.now); !b.Empty() {
+		var b *Batch
+		sim.measure(func() { b = sim.core.TakeBatch(sim.now) })
+		if !b.Empty() {
 			sim.committing, sim.commitAt = b, sim.now.Add(simStep)
 		}
 	}
 }
 
+// measure adds the time of f to coreTime.
+func (sim *simulation) measure(f func()) {
+	start := time.Now()
+	f()
+	sim.coreTime += time.Since(start)
+}
+
 func (sim *simulation) after(d time.Duration, f func()) {
 	sim.pending = append(sim.pending, delivery{sim.now.Add(d), f})
 }
 
 // send delivers a command to its worker, subject to faults.
 func (sim *simulation) send(core *Core, o Command) {
-	var target *simWorker
-	for _, sw := range sim.workers {
-		if sw.id == o.Worker {
-			target = sw
-		}
-	}
+	target := sim.byID[o.Worker]
 	answer := func(r CommandResult) {
 		sim.after(simStep, func() {
 			if core == sim.core {
-				core.CommandDone(r, sim.now)
+				sim.measure(func() { core.CommandDone(r, sim.now) })
 			}
 		})
 	}
@@ -296,6 +304,9 @@
 
 // log adds a line to the trace, which is printed if the test fails.
 func (sim *simulation) log(format string, args ...any) {
+	if sim.unchecked {
+		return
+	}
 	sim.trace = append(sim.trace, fmt.Sprintf("%v: ", sim.now.Sub(time.UnixMilli(1_700_000_000_000)))+fmt.Sprintf(format, args...))
 }
 
@@ -319,6 +330,9 @@
 		sim.runningOn[name] = make(map[string]AttemptID)
 	}
 	sim.runningOn[name][sw.id] = attemptID
+	if sim.unchecked {
+		return
+	}
 	used := Resources{}
 	for _, r := range sw.active {
 		for _, sub := range sim.subs {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -39,6 +39,10 @@
 	services    int          // services on the worker
 	pastFillers []pastFiller // fillers that ended recently
 
+	kept    *candidate // see candidate
+	keptAt  time.Time
+	changed bool // since kept was computed
+
 	holdInFlight     bool
 	nextHold         time.Time // when the next hold is due
 	health           health
@@ -62,6 +66,7 @@
 
 // count adds an attempt to the sums of the worker, or removes it if sign is -1.
 func (w *worker) count(a *attempt, sign int64) {
+	w.changed = true
 	s := a.step()
 	size := Resources{s.size.CPUMilli * sign, s.size.MemoryMiB * sign, s.size.Accelerators * sign}
 	if s.filler() {
@@ -110,7 +115,7 @@
 		c.newIncarnation(w, e.Incarnation, now)
 	}
 	leaves := e.Draining && !w.entry.Draining
-	w.entry, w.listed = e, true
+	w.entry, w.listed, w.changed = e, true, true
 	if leaves && !c.disabled.skipEvacuation {
 		c.evacuate(w, now)
 	}
