scheduler: no start for a restarted worker before its clock is known

The owner went on to send starts whose leases were computed on the clock of the worker's earlier life. Its new clock begins at zero, so it grants the longest lease, while the owner waits for the short one of the start and then runs the task elsewhere.

Change: such a worker gets no start until it has answered a hold, and the end of any lease that is sent is assumed to be at least one longest lease away.

TestRestoredStateEqualsRecord draws the same kinds. The histories run in parallel.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -60,7 +60,7 @@
 	}
 	a.sentAt, a.progressAt = now, now
 	lease := w.clockNow(now) + startLease
-	w.grant(lease)
+	c.grant(w, lease, now)
 	w.commandsInFlight++
 	s := a.step()
 	checkpoint := s.checkpointFor(a.task)
--- a/internal/scheduler/records_test.go
+++ b/internal/scheduler/records_test.go
@@ -1,6 +1,9 @@
 package scheduler
 
 import (
+	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -41,34 +44,38 @@
 // would record of each restored job must be what the previous owner recorded, and
 // the counts of tasks must agree with the tasks.
 func TestRestoredStateEqualsRecord(t *testing.T) {
-	c := qt.New(t)
 	for seed := range uint64(12) {
-		checked := 0
-		sim := newSimulation(seed, 6)
-		sim.faults = networkFaults{loseReply: 0.03, late: 0.03, drop: 0.03}
-		sim.taskFor = func(r AttemptID) simTask {
-			return simTask{work: time.Duration(100+(r.Task*37+r.Step*61)%900) * time.Millisecond, fail: (r.Task+r.Number)%13 == 0}
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			checkRestoredHistory(qt.New(t), seed)
+		})
+	}
+}
+
+// checkRestoredHistory simulates a random history of all kinds of jobs and restores
+// its records every 0.3 s.
+func checkRestoredHistory(c *qt.C, seed uint64) {
+	checked := 0
+	sim := newSimulation(seed, 6)
+	sim.faults = networkFaults{loseReply: 0.03, late: 0.03, drop: 0.03}
+	kinds := slices.Sorted(maps.Keys(jobKinds))
+	sim.taskFor = func(r AttemptID) simTask {
+		return simTask{work: time.Duration(100+(r.Task*37+r.Step*61)%900) * time.Millisecond, fail: (r.Task+r.Number)%13 == 0}
+	}
+	for n := range 120 {
+		sim.injectFault()
+		if n%4 == 0 {
+			sim.submit(jobKinds[kinds[sim.rng.IntN(len(kinds))]](sim, n+1))
 		}
-		for n := range 120 {
-			sim.injectFault()
-			switch n % 12 {
-			case 0:
-				sim.submit(simJob(n+1, simStepSpec(4, 2500), simStepSpec(3, 1500, 0)))
-			case 4:
-				sim.submit(simScheduledJob(sim, n+1, 3, 500*time.Millisecond, time.Second, simStepSpec(3, 800), simStepSpec(2, 800, 0)))
-			case 8:
-				gang := simStepSpec(3, 900)
-				gang.Gang = true
-				sim.submit(simJob(n+1, gang, simStepSpec(2, 500, 0)))
-			}
-			if n%40 == 39 {
-				sim.cancel(sim.subs[len(sim.subs)-1].GetId())
-			}
-			sim.run(100 * time.Millisecond)
+		if n%40 == 39 {
+			sim.cancel(sim.subs[len(sim.subs)-1].GetId())
+		}
+		sim.run(100 * time.Millisecond)
+		if n%3 == 0 {
 			checked += sim.checkRestore(c)
 		}
-		c.Check(checked > 500, qt.IsTrue, qt.Commentf("only %d records were checked", checked))
 	}
+	c.Check(checked > 200, qt.IsTrue, qt.Commentf("only %d records were checked", checked))
 }
 
 // checkRestore restores each recorded job in a new core and returns their number.
--- a/internal/scheduler/schedule_test.go
+++ b/internal/scheduler/schedule_test.go
@@ -31,6 +31,7 @@
 	}
 	for seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			sim := randomHistory(uint64(seed), disabledRules{})
 			c := qt.New(t)
 			c.Check(sim.violations, qt.HasLen, 0)
@@ -55,6 +56,7 @@
 		"begin with cursor 0 after a restart":         {keepCursor: true},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			broken := 0
 			for seed := range seeds {
 				if len(randomHistory(uint64(seed), off).violations) > 0 {
@@ -393,3 +395,35 @@
 	qt.Assert(t, with < time.Second, qt.IsTrue)
 	qt.Assert(t, without > 5*time.Second, qt.IsTrue)
 }
+
+// Guards against a task that runs twice because its start was sent to a worker that
+// is known to have restarted but has not answered since: the lease of the start is a
+// time on the clock of the worker's earlier life, so the worker grants more than the
+// owner waits for. Found by seed 14 of TestAllKindsOfJobs.
+func TestStartOnRestartedWorker(t *testing.T) {
+	c := qt.New(t)
+	sim := newSimulation(1, 2)
+	sim.taskFor = func(r AttemptID) simTask {
+		if r.Job == fmt.Sprintf("%016x", 1) {
+			return simTask{work: time.Second}
+		}
+		return simTask{work: 30 * time.Second}
+	}
+	sim.run(10 * time.Second)
+	sim.submit(simJob(1, simStepSpec(1, 8000)))
+	sim.run(200 * time.Millisecond)
+	idle := sim.workers[0]
+	if len(idle.active) > 0 {
+		idle = sim.workers[1]
+	}
+	idle.pendingHold = nil // its connection is silent
+	idle.restart()
+	sim.core.SetWorker(idle.entry(), sim.now)
+	sim.faults.loseReply = 1
+	sim.submit(simJob(2, simStepSpec(1, 8000)))
+	sim.run(100 * time.Millisecond)
+	idle.unreachable = true
+	sim.faults = networkFaults{}
+	sim.run(20 * time.Second)
+	c.Check(sim.violations, qt.HasLen, 0)
+}
--- a/internal/scheduler/simulated_worker_test.go
+++ b/internal/scheduler/simulated_worker_test.go
@@ -28,6 +28,9 @@
 				sw.sim.log("%s discards the end of %s: cursor %d, token %d, sent at %v", sw.id, e.AttemptID, o.Cursor, o.Token, o.SentAt.Sub(time.UnixMilli(1_700_000_000_000)))
 				sw.sim.discardedDone[e.AttemptID.TaskName()] = true
 			}
+			if e.Number <= o.Cursor && sw.sim.onNoted != nil && !sw.expiredAt.After(sw.endedAt[e.Number]) {
+				sw.sim.onNoted(e.AttemptID, e.Reason, sw.endedAt[e.Number])
+			}
 			return e.Number <= o.Cursor
 		})
 		if sw.pendingHold != nil {
@@ -68,6 +71,9 @@
 }
 
 func (sw *simWorker) advance() {
+	if sw.sim.now.After(sw.lease) {
+		sw.expiredAt = sw.sim.now
+	}
 	for _, r := range sw.activeAttempts() {
 		if !r.stuck {
 			r.worked += simStep * time.Duration(r.speed) / 100
@@ -101,8 +107,9 @@
 	sw.sim.log("%s ends on %s: %s", r.attemptID, sw.id, how)
 	sw.newestAttempt[name] = max(sw.newestAttempt[name], r.attemptID.Number)
 	sw.next++
+	sw.endedAt[sw.next] = sw.sim.now
 	sw.ended = append(sw.ended, EndedAttempt{Number: sw.next, AttemptID: r.attemptID, Reason: how})
-	sw.sim.attemptEnded(r.attemptID, sw.id)
+	sw.sim.attemptEnded(r.attemptID, sw.id, how)
 }
 
 func (sw *simWorker) answerHold() {
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -39,6 +39,13 @@
 	starts         int
 	replacedOwners []*replacedOwner
 	byID           map[string]*simWorker
+	// onStart and onEnd, if not nil, are called for each start and each end at a
+	// worker.
+	onStart func(AttemptID, *simWorker)
+	onEnd   func(id AttemptID, worker string, reason EndReason)
+	// onNoted is called when a worker discards an end that counts: its lease has not
+	// expired since. at is when the attempt ended.
+	onNoted func(id AttemptID, reason EndReason, at time.Time)
 	// unchecked leaves out the checks of each start and the trace.
 	unchecked bool
 	coreTime  time.Duration // processor time of the core
@@ -77,6 +84,8 @@
 	capacity      Resources
 	active        map[AttemptID]*simAttempt
 	newestAttempt map[string]int
+	endedAt       map[int64]time.Time // by number of the end
+	expiredAt     time.Time           // when the lease was last found expired
 	ended         []EndedAttempt
 	next          int64
 	unreachable   bool // commands don't reach it
@@ -122,10 +131,11 @@
 func (sw *simWorker) restart() {
 	sw.sim.log("%s restarts", sw.id)
 	for _, r := range sw.active {
-		sw.sim.attemptEnded(r.attemptID, sw.id)
+		sw.sim.attemptEnded(r.attemptID, sw.id, EndUnknown)
 	}
 	sw.incarnation, sw.startedAt, sw.token = sw.incarnation+1+sw.sim.now.UnixMilli(), sw.sim.now, 0
 	sw.active, sw.newestAttempt, sw.ended, sw.next = make(map[AttemptID]*simAttempt), make(map[string]int), nil, 0
+	sw.endedAt = make(map[int64]time.Time)
 	if h := sw.pendingHold; h != nil {
 		core := sw.sim.core
 		sw.sim.after(simStep, func() {
@@ -319,7 +329,7 @@
 func (sim *simulation) checkStart(attemptID AttemptID, sw *simWorker) {
 	sim.starts++
 	name := attemptID.TaskName()
-	sim.log("%s starts on %s, token %d", attemptID, sw.id, sw.token)
+	sim.log("%s starts on %s, token %d, lease %v", attemptID, sw.id, sw.token, sw.lease.Sub(time.UnixMilli(1_700_000_000_000)))
 	if len(sim.runningOn[name]) > 0 {
 		sim.violate("%s starts on %s while it runs on %v", attemptID, sw.id, sim.runningOn[name])
 	}
@@ -333,6 +343,9 @@
 	if sim.unchecked {
 		return
 	}
+	if sim.onStart != nil {
+		sim.onStart(attemptID, sw)
+	}
 	used := Resources{}
 	for _, r := range sw.active {
 		for _, sub := range sim.subs {
@@ -350,7 +363,10 @@
 	}
 }
 
-func (sim *simulation) attemptEnded(attemptID AttemptID, worker string) {
+func (sim *simulation) attemptEnded(attemptID AttemptID, worker string, reason EndReason) {
+	if sim.onEnd != nil {
+		sim.onEnd(attemptID, worker, reason)
+	}
 	delete(sim.runningOn[attemptID.TaskName()], worker)
 }
 
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -18,6 +18,10 @@
 	incarnation   int64
 	incarnationAt time.Time
 
+	// clockUnknown is set while the worker is known to have restarted and has not
+	// answered a hold since. Leases for it can't be computed.
+	clockUnknown bool
+
 	clock   time.Duration // reading of the worker's clock in its newest answer
 	clockAt time.Time     // when that answer arrived
 
@@ -86,18 +90,22 @@
 func (w *worker) clockNow(now time.Time) time.Duration { return w.clock + now.Sub(w.clockAt) }
 
 // grant extends leaseEnd for a lease that is about to be sent, so that leaseEnd
-// covers it even if no answer arrives.
-func (w *worker) grant(lease time.Duration) {
+// covers it even if no answer arrives. A worker that has restarted meanwhile, and so
+// counts its clock from zero, grants the longest lease.
+func (c *Core) grant(w *worker, lease time.Duration, now time.Time) {
 	left := max(lease-w.clock, 0)
 	end := w.clockAt.Add(time.Duration(float64(left)*clockDriftFactor) + leaseSlack)
-	if end.After(w.leaseEnd) {
-		w.leaseEnd = end
+	restarted := now.Add(time.Duration(float64(c.opts.Lease)*clockDriftFactor) + leaseSlack)
+	for _, t := range []time.Time{end, restarted} {
+		if t.After(w.leaseEnd) {
+			w.leaseEnd = t
+		}
 	}
 }
 
 // usable reports whether the worker may receive new work.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && w.adopted && !w.entry.Draining && w.silentSince.IsZero() && !w.health.quarantined(now) &&
+	return w.listed && w.adopted && !w.clockUnknown && !w.entry.Draining && w.silentSince.IsZero() && !w.health.quarantined(now) &&
 		now.Sub(w.answeredAt) < maxAnswerAge
 }
 
@@ -113,6 +121,7 @@
 	}
 	if e.Incarnation > w.incarnation && w.incarnation != 0 {
 		c.newIncarnation(w, e.Incarnation, now)
+		w.clockUnknown = true
 	}
 	leaves := e.Draining && !w.entry.Draining
 	w.entry, w.listed, w.changed = e, true, true
@@ -218,7 +227,7 @@
 		}
 		if len(w.attempts) > 0 {
 			o.Lease = w.clockNow(now) + c.opts.Lease
-			w.grant(o.Lease)
+			c.grant(w, o.Lease, now)
 		}
 	}
 	w.holdInFlight = true
@@ -242,7 +251,7 @@
 		w.nextHold = now
 		return
 	}
-	w.clock, w.clockAt, w.answeredAt = r.Hold.Clock, now, now
+	w.clock, w.clockAt, w.answeredAt, w.clockUnknown = r.Hold.Clock, now, now, false
 	if w.incarnation != r.Hold.Incarnation {
 		c.newIncarnation(w, r.Hold.Incarnation, now)
 	}
