--- a/internal/scheduler/best.go
+++ b/internal/scheduler/best.go
@@ -25,15 +25,16 @@
 }
 
 // ranking orders the workers that can start the tasks of one step by their costs.
-// The tasks of a step differ only in the worker that they avoid, so that a placement
+// The tasks of a step differ only in the worker that they avoid, so a placement
 // changes the cost of one worker, and a step of many tasks needs no scan of all
 // workers for each of them.
 type ranking struct {
-	pass    *pass
-	step    *step
-	queue   *Queue
-	entries []rankedCandidate // a heap
-	starved bool              // of the step when the costs were computed
+	pass       *pass
+	candidates []*candidate
+	queue      *Queue
+	task       *task             // stands for the tasks that avoid no worker
+	entries    []rankedCandidate // a heap
+	starved    bool              // of the step when the costs were computed
 }
 
 // rankedCandidate is a worker with its cost for the step. Workers of equal cost keep
@@ -44,48 +45,57 @@
 	order int
 }
 
-// newRanking computes the costs of all candidates for the tasks of a step that avoid
-// no worker.
 func (p *pass) newRanking(s *step, candidates []*candidate, q *Queue) *ranking {
-	r := &ranking{pass: p, step: s, queue: q, starved: s.starved(p.now)}
-	t := &task{step: s}
-	for n, cand := range candidates {
+	r := &ranking{pass: p, candidates: candidates, queue: q, task: &task{step: s}}
+	r.compute()
+	return r
+}
+
+// compute computes the costs of all candidates.
+func (r *ranking) compute() {
+	r.starved = r.task.step.starved(r.pass.now)
+	r.entries = r.entries[:0]
+	for n, cand := range r.candidates {
 		cand.position = -1
-		if cost, ok := p.costIfFits(t, cand, q); ok {
+		if cost, ok := r.pass.costIfFits(r.task, cand, r.queue); ok {
 			cand.position = len(r.entries)
 			r.entries = append(r.entries, rankedCandidate{cand, cost, n})
 		}
 	}
 	heap.Init(r)
-	return r
 }
 
-// best returns the worker with the lowest cost, nil if there is none.
-func (r *ranking) best() *candidate {
-	if len(r.entries) == 0 {
+// bestFor returns the worker with the lowest cost for a task of the step, nil if
+// there is none.
+func (r *ranking) bestFor(t *task) *candidate {
+	switch {
+	case len(r.entries) == 0:
 		return nil
+	case t.avoid != "":
+		return r.pass.best(t, r.candidates, r.queue)
+	default:
+		return r.entries[0].candidate
 	}
-	return r.entries[0].candidate
 }
 
-// update recomputes the cost of a worker after a placement there. It returns false
-// if the costs of other workers have changed as well.
-func (r *ranking) update(cand *candidate) bool {
-	if r.starved {
-		return false // a step with an attempt is not starved
-	}
+// update recomputes the cost of a worker after a placement there. If the step was
+// starved, it no longer is, which changes the costs of all workers.
+func (r *ranking) update(cand *candidate) {
 	n := cand.position
-	if n < 0 {
-		return true
+	switch {
+	case r.starved:
+		r.compute()
+		return
+	case n < 0:
+		return
 	}
-	cost, ok := r.pass.costIfFits(&task{step: r.step}, cand, r.queue)
+	cost, ok := r.pass.costIfFits(r.task, cand, r.queue)
 	if !ok {
 		heap.Remove(r, n)
-		return true
+		return
 	}
 	r.entries[n].cost = cost
 	heap.Fix(r, n)
-	return true
 }
 
 // Len implements heap.Interface.
--- a/internal/scheduler/best_test.go
+++ b/internal/scheduler/best_test.go
@@ -40,7 +40,7 @@
 					continue
 				}
 				best := p.best(task, candidates, q)
-				c.Assert(ranked.best(), qt.Equals, best, qt.Commentf("seed %d, %s", seed, task.idOfAttempt(1)))
+				c.Assert(ranked.bestFor(task), qt.Equals, best, qt.Commentf("seed %d, %s", seed, task.idOfAttempt(1)))
 				compared++
 				if best == nil {
 					break
@@ -51,9 +51,7 @@
 				}
 				core.place(task, best.worker, 1, p.now)
 				best.update()
-				if !ranked.update(best) {
-					ranked = p.newRanking(s, candidates, q)
-				}
+				ranked.update(best)
 			}
 		}
 	}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -129,37 +129,9 @@
 	if unplaced, found := p.unplaced[required]; cacheable && found && unplaced.FitsIn(s.size) {
 		return
 	}
-	placed := 0
-	var ranked *ranking // nil while it has to be computed
-	for _, t := range s.tasks {
-		if t.done || t.assigned() || p.now.Before(t.notBefore) || r.starving && !t.starving(p.now) {
-			continue
-		}
-		if ranked == nil {
-			ranked = p.newRanking(s, candidates, q)
-		}
-		best := ranked.best()
-		if best != nil && t.avoid != "" {
-			best = p.best(t, candidates, q)
-		}
-		if best != nil {
-			p.core.place(t, best.worker, t.lastAttempt+1, p.now)
-			best.update()
-			if !ranked.update(best) {
-				ranked = nil
-			}
-		} else {
-			if r.starving {
-				p.reserve(t, candidates, q)
-				ranked = nil
-				continue
-			}
-			if cacheable {
-				p.unplaced[required] = s.size
-			}
-			break // the other tasks of the step request the same resources
-		}
-		placed++
+	placed, complete := p.placeTasks(r, candidates, q)
+	if !complete && cacheable {
+		p.unplaced[required] = s.size
 	}
 	if placed > 0 {
 		j := s.round.job
@@ -169,6 +141,32 @@
 	}
 }
 
+// placeTasks places tasks of a step until no worker can start one more. It returns
+// the number of tasks placed, and false if no worker had enough free capacity for
+// the last one. Workers are reserved for starving tasks that don't fit.
+func (p *pass) placeTasks(r rank, candidates []*candidate, q *Queue) (placed int, complete bool) {
+	ranked := p.newRanking(r.step, candidates, q)
+	for _, t := range r.step.tasks {
+		if t.done || t.assigned() || p.now.Before(t.notBefore) || r.starving && !t.starving(p.now) {
+			continue
+		}
+		best := ranked.bestFor(t)
+		switch {
+		case best != nil:
+			p.core.place(t, best.worker, t.lastAttempt+1, p.now)
+			best.update()
+			ranked.update(best)
+			placed++
+		case r.starving:
+			p.reserve(t, candidates, q)
+			ranked.compute()
+		default:
+			return placed, false // the other tasks of the step request the same resources
+		}
+	}
+	return placed, true
+}
+
 // maxReserved bounds the share of a pool's workers that are reserved for starving
 // tasks.
 const maxReserved = 0.1
