relay: commands can't be left waiting after the last relay was awaited

Send read the time before it took the lock, so a command could join the waiting ones right after the timer had sent them, and wait until the next relay connects. Found by reading.

--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -71,10 +71,10 @@
 	if len(commands) == 0 {
 		return
 	}
-	now := time.Now()
 	var own, notSent []scheduler.Command
 	mayAct := r.opts.MayAct()
 	r.mu.Lock()
+	now := time.Now() // read under the lock: nothing may wait after the last sendWaiting
 	for _, c := range commands {
 		if !mayAct {
 			notSent = append(notSent, c)
