relay: test of a relay that is cut off in one direction

Cause: the tests lacked a stream that loses all messages in one direction.

Change: TestRelayCutOffOneWay, for both directions.

--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -139,6 +139,20 @@
 
 	mu     sync.Mutex
 	paused chan struct{} // closed when the pause ends, nil if there is none
+	// dropBatches and dropReports lose all messages in one direction.
+	dropBatches, dropReports bool
+}
+
+func (s *stream) drop(batches, reports bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropBatches, s.dropReports = batches, reports
+}
+
+func (s *stream) drops() (batches, reports bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dropBatches, s.dropReports
 }
 
 func newStream() *stream {
@@ -191,12 +205,21 @@
 
 type ownerEnd struct{ *stream }
 
-func (e ownerEnd) Send(m *pb.RelayBatch) error    { return transfer(e.stream, e.batches, m) }
+func (e ownerEnd) Send(m *pb.RelayBatch) error {
+	if drop, _ := e.drops(); drop {
+		return nil
+	}
+	return transfer(e.stream, e.batches, m)
+}
+
 func (e ownerEnd) Recv() (*pb.RelayReport, error) { return receive(e.stream, e.reports) }
 
 type relayEnd struct{ *stream }
 
 func (e relayEnd) Send(m *pb.RelayReport) error {
+	if _, drop := e.drops(); drop {
+		return nil
+	}
 	e.waitPause()
 	time.Sleep(time.Millisecond) // what was received is handled before a closed stream is noticed
 	return transfer(e.stream, e.reports, m)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -183,6 +183,43 @@
 	})
 }
 
+// Guards against a relay that is cut off in one direction: its commands must be
+// reported as unknown, not as sent in vain, and its workers must go elsewhere within
+// the time that a hold takes.
+func TestRelayCutOffOneWay(t *testing.T) {
+	for name, c := range map[string]struct {
+		batches, reports bool
+		carriedOut       int
+	}{"from the owner": {batches: true}, "to the owner": {reports: true, carriedOut: 1}} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, allOnRelays, func(s *site) {
+				cut := s.connect("i1", nil)
+				time.Sleep(100 * time.Millisecond)
+				other := s.connect("i2", nil)
+				time.Sleep(100 * time.Millisecond)
+				cut.stream.drop(c.batches, c.reports)
+				s.router.Send([]scheduler.Command{start("w"), start("v")})
+				time.Sleep(idleReportInterval + busyTimeout + 2*checkInterval)
+				unknown, answered := 0, 0
+				for _, r := range s.takeResults() {
+					s.c.Check(r.NotSent, qt.IsFalse)
+					if r.Err != nil {
+						unknown++
+					} else {
+						answered++
+					}
+				}
+				s.c.Check([]int{unknown, answered}, qt.DeepEquals, []int{1, 1})
+				s.c.Check(cut.count(), qt.Equals, c.carriedOut)
+				s.router.Send([]scheduler.Command{start("w"), start("v")})
+				time.Sleep(100 * time.Millisecond)
+				s.c.Check(other.count(), qt.Equals, 3)
+				s.c.Check(s.takeResults(), qt.HasLen, 2)
+			})
+		})
+	}
+}
+
 // Guards against a relay that is cut off from a worker and keeps it.
 func TestRelayCutOffFromWorker(t *testing.T) {
 	inBubble(t, allOnRelays, func(s *site) {
