relay: messages are split at 256 KiB

A queue that has waited for a relay could exceed the largest message that a stream accepts (1 MiB), and the relay would be lost with all commands in flight. Found by reading. Test: TestLargeQueuesAreSplit.

--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -24,7 +24,7 @@
 // # Parts
 //
 // Assignment decides which instance serves which worker; it does no I/O and reads no
-// clock. Router applies it to the owner's commands and tracks those that are in
-// flight at relays. Serve is the relay's side of a stream. Executor makes the calls,
-// for the owner and for relays alike.
+// clock. Router applies it to the owner's commands, and a link for each connected
+// relay tracks those that are in flight there. Session is the relay's side of a
+// stream. Executor makes the calls, for the owner and for relays alike.
 package relay
--- a/internal/relay/encode.go
+++ b/internal/relay/encode.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"gooseberryreel/internal/pb"
 	"gooseberryreel/internal/scheduler"
@@ -88,4 +89,21 @@
 	return r
 }
 
+// maxMessageBytes limits the commands or outcomes of a message. It is well below the
+// largest message that a stream accepts.
+const maxMessageBytes = 256 << 10
+
+// splitMessages splits a queue into the messages that fit into maxMessageBytes, at
+// least one, and the rest.
+func splitMessages[M proto.Message](queue []M) (first, rest []M) {
+	size := 0
+	for n, m := range queue {
+		size += proto.Size(m)
+		if n > 0 && size > maxMessageBytes {
+			return queue[:n:n], queue[n:]
+		}
+	}
+	return queue, nil
+}
+
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -175,8 +175,8 @@
 	}
 }
 
-// takeBatch returns the next message, nil if a report was asked for and has not
-// arrived yet.
+// takeBatch returns the next message, nil if commands wait for a report that was
+// asked for.
 func (l *link) takeBatch(now time.Time) *pb.RelayBatch {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -190,7 +190,9 @@
 		batch.AskReport = true
 		return batch
 	}
-	batch.Commands, l.queue = l.queue, nil
+	if batch.Commands, l.queue = splitMessages(l.queue); len(l.queue) > 0 {
+		l.wakeSender()
+	}
 	return batch
 }
 
--- a/internal/relay/payload_test.go
+++ b/internal/relay/payload_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/proto"
 
+	"gooseberryreel/internal/pb"
 	"gooseberryreel/internal/scheduler"
 )
 
@@ -48,3 +49,33 @@
 	owner.strip(h)
 	c.Check(h.GetPayloadKnown(), qt.IsFalse)
 }
+
+// Guards against a message that is larger than the stream accepts, after commands
+// have waited for a relay: the relay would be lost with all of them.
+func TestLargeQueuesAreSplit(t *testing.T) {
+	c := qt.New(t)
+	var queue []*pb.WorkerCommand
+	for n := range 500 {
+		command := start("w")
+		command.Payload = strings.Repeat("p", 4000)
+		queue = append(queue, encodeCommand(int64(n), command))
+	}
+	next, messages := int64(0), 0
+	for len(queue) > 0 {
+		var message []*pb.WorkerCommand
+		message, queue = splitMessages(queue)
+		c.Assert(len(message) > 0, qt.IsTrue)
+		c.Assert(proto.Size(&pb.RelayBatch{Commands: message}) < maxMessageBytes+8000, qt.IsTrue)
+		for _, m := range message {
+			c.Assert(m.GetNumber(), qt.Equals, next)
+			next++
+		}
+		messages++
+	}
+	c.Check(next, qt.Equals, int64(500))
+	c.Check(messages, qt.Equals, 8)
+	large := encodeCommand(1, start("w"))
+	large.Payload = strings.Repeat("p", 2*maxMessageBytes)
+	first, rest := splitMessages([]*pb.WorkerCommand{large, large})
+	c.Check([]int{len(first), len(rest)}, qt.DeepEquals, []int{1, 1})
+}
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -54,7 +54,7 @@
 
 // Run carries out the owner's commands until ctx ends or the stream fails. When
 // stopping ends, it announces that the relay is leaving and returns once no command
-// is in flight. A returned error means that the owner was lost.
+// is in flight, or after leaveTimeout. It returns nil only then.
 func (s *Session) Run(ctx, stopping context.Context, stream RelayStream) error {
 	s.wake = make(chan struct{}, 1)
 	s.batchAt, s.sentAt = s.Clock(), s.Clock()
@@ -100,12 +100,12 @@
 				continue
 			}
 		}
-		report, inFlight := s.takeReport()
+		report, remaining := s.takeReport()
 		report.Leaving = leaving
 		if err := stream.Send(report); err != nil {
 			return errors.Wrap(err, "send report")
 		}
-		if leaving && inFlight == 0 {
+		if leaving && remaining == 0 {
 			return nil
 		}
 		time.Sleep(flushInterval)
@@ -125,13 +125,17 @@
 	return s.inFlight > 0 || s.Clock()-s.sentAt > idleReportInterval
 }
 
-func (s *Session) takeReport() (report *pb.RelayReport, inFlight int) {
+// takeReport returns the next report and the number of commands that it does not
+// cover yet.
+func (s *Session) takeReport() (report *pb.RelayReport, remaining int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sentAt = s.Clock()
-	report = &pb.RelayReport{ClockMs: s.sentAt.Milliseconds(), Outcomes: s.outcomes}
-	s.outcomes = nil
-	return report, s.inFlight
+	report = &pb.RelayReport{ClockMs: s.sentAt.Milliseconds()}
+	if report.Outcomes, s.outcomes = splitMessages(s.outcomes); len(s.outcomes) > 0 {
+		s.wakeReport()
+	}
+	return report, s.inFlight + len(s.outcomes)
 }
 
 func (s *Session) wakeReport() {
