scheduler: the log says why and at which age an attempt was lost

A lost attempt was logged with the time until the loss was noticed and without its cause, so that the hypotheses of the incident could not be told apart. 'attempt ended' has cause, answered and age_ms, and owner_decisions_total counts the decisions of an owner by event.

--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -24,6 +24,7 @@
 	commands       *prometheus.CounterVec
 	commandSeconds *prometheus.HistogramVec
 	commitSeconds  prometheus.Histogram
+	decisions      *prometheus.CounterVec
 	owner          prometheus.Gauge
 	relays         *prometheus.GaugeVec
 	ownWorkers     prometheus.Gauge
@@ -56,6 +57,9 @@
 		commitSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "store_commit_seconds", Help: "Time until the store has confirmed a batch of decisions.", Buckets: latencyBuckets,
 		}),
+		decisions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "owner_decisions_total", Help: "Decisions and observed changes of this instance while it is the owner, by event as in the log.",
+		}, []string{"event"}),
 		relays: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "relays_connected", Help: "Relays that are connected to this instance while it is the owner, by whether they serve workers.",
 		}, []string{"state"}),
@@ -63,7 +67,7 @@
 		owner:         prometheus.NewGauge(prometheus.GaugeOpts{Name: "ownership_held", Help: "1 while this instance owns the job state."}),
 		configVersion: prometheus.NewGauge(prometheus.GaugeOpts{Name: "config_version", Help: "Version of the configuration in force."}),
 	}
-	r.MustRegister(m.calls, m.storeCalls, m.unreadable, m.claims, m.commands, m.commandSeconds, m.commitSeconds, m.relays, m.ownWorkers, m.owner, m.configVersion)
+	r.MustRegister(m.calls, m.storeCalls, m.unreadable, m.claims, m.commands, m.commandSeconds, m.commitSeconds, m.decisions, m.relays, m.ownWorkers, m.owner, m.configVersion)
 	if dropped != nil {
 		r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "log_dropped_lines_total", Help: "Log lines dropped under load.",
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -254,7 +254,7 @@
 	}
 	for _, a := range slices.Clone(w.list) {
 		if !listed[a.attemptID] && a.recorded && a.endedIfUnlisted(w, sentAt) {
-			c.endAttempt(a, EndLost, "", now)
+			c.loseAttempt(a, lossUnlisted, now)
 		}
 	}
 	c.observe(w, now)
@@ -332,8 +332,12 @@
 	if !j.active() || t.done {
 		return
 	}
-	c.addLogEntry("attempt ended", j.sub.GetRequestId(), "run", a.attemptID.String(), "worker", w.id, "how", reason.String(),
-		"why", a.stopReason, "ran_ms", now.Sub(a.sentAt).Milliseconds(), "percent", a.progress)
+	fields := []any{"run", a.attemptID.String(), "worker", w.id, "how", reason.String(), "why", a.stopReason,
+		"ran_ms", now.Sub(a.sentAt).Milliseconds(), "percent", a.progress}
+	if reason == EndLost {
+		fields = append(fields, "cause", string(a.loss), "answered", !a.startedAt.IsZero() || !a.seenAt.IsZero(), "age_ms", a.ageAtSilence(now).Milliseconds())
+	}
+	c.addLogEntry("attempt ended", j.sub.GetRequestId(), fields...)
 	if reason == EndFailed {
 		c.countFailure(a, now)
 	}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -80,6 +80,7 @@
 	stopReason     string    // why it is being stopped, empty while it may run
 	stopSentAt     time.Time // when the newest stop was sent
 	stoppedAt      time.Time // when a stop was answered
+	loss           lossCause // why it counts as lost, empty otherwise
 
 	progress   int       // as reported by the worker, see ActiveAttempt
 	progressAt time.Time // newest change of progress
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -29,7 +29,9 @@
 	// one started there has expired if no further renewal reaches it.
 	leaseEnd    time.Time
 	silentSince time.Time // zero while the worker answers
-	answeredAt  time.Time // newest answer to a hold
+	// silentNoticed is when the first call without an answer ended.
+	silentNoticed time.Time
+	answeredAt    time.Time // newest answer to a hold
 
 	processed int64 // number of the newest end that the core has handled
 	cursor    int64 // number of the newest end that is recorded
@@ -206,7 +208,7 @@
 			continue
 		}
 		c.addLogEntry("lease expired", a.job().sub.GetRequestId(), "run", a.attemptID.String(), "worker", w.id, "silent_ms", now.Sub(w.answeredAt).Milliseconds())
-		c.endAttempt(a, EndLost, "", now)
+		c.loseAttempt(a, lossLeaseExpired, now)
 	}
 }
 
@@ -255,6 +257,7 @@
 	if w.incarnation != r.Hold.Incarnation {
 		c.newIncarnation(w, r.Hold.Incarnation, now)
 	}
+	w.silentNoticed = time.Time{}
 	c.handleEnded(w, r.Hold, now)
 	c.reconcileActive(w, r.Hold, r.Command.SentAt, now)
 	if !w.adopted {
@@ -278,11 +281,11 @@
 		// Another worker answers at the address, so this one has ended.
 		c.RemoveWorker(w.id, now)
 		for _, a := range slices.Clone(w.list) {
-			c.endAttempt(a, EndLost, "", now)
+			c.loseAttempt(a, lossReplaced, now)
 		}
 	}
 	if w.silentSince.IsZero() {
-		w.silentSince = r.Command.SentAt
+		w.silentSince, w.silentNoticed = r.Command.SentAt, now
 		if !w.answeredAt.IsZero() && w.answeredAt.After(w.silentSince) {
 			w.silentSince = w.answeredAt
 		}
@@ -308,7 +311,7 @@
 		// A start that the worker had not listed yet may have reached it after its
 		// restart; the answers to the next holds show which.
 		if !a.seenAt.IsZero() {
-			c.endAttempt(a, EndLost, "", now)
+			c.loseAttempt(a, lossRestarted, now)
 		}
 	}
 }
