scheduler: tests of tasks that crash their workers, which fail

Simulated workers can crash: they are down for 3 s and come back at their address, with their id or another one, while the entry of the old id expires later.

--- a/internal/scheduler/simulated_worker_test.go
+++ b/internal/scheduler/simulated_worker_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"slices"
 	"time"
 )
@@ -9,6 +10,11 @@
 func (sw *simWorker) execute(o Command, answer func(CommandResult)) {
 	sw.advance()
 	result := CommandResult{Command: o, Clock: sw.clock()}
+	if sw.sim.now.Before(sw.downUntil) {
+		result.Err = fmt.Errorf("connection refused")
+		answer(result)
+		return
+	}
 	refuse := func(r Refusal) {
 		result.Refused = r
 		answer(result)
@@ -17,6 +23,10 @@
 		refuse(RefusedFenced)
 		return
 	}
+	if o.Worker != sw.id {
+		refuse(RefusedWrongWorker)
+		return
+	}
 	sw.token = o.Token
 	switch o.Kind {
 	case CommandHold:
@@ -53,6 +63,7 @@
 			sw.extend(o.Lease)
 			sw.active[o.AttemptID] = &simAttempt{attemptID: o.AttemptID, startedAt: sw.sim.now, task: sw.sim.taskFor(o.AttemptID), speed: 100}
 			sw.sim.checkStart(o.AttemptID, sw)
+			sw.crashUnder(sw.active[o.AttemptID])
 		}
 		answer(result)
 	case CommandStop:
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -38,7 +38,13 @@
 	taskFor        func(attemptID AttemptID) simTask
 	starts         int
 	replacedOwners []*replacedOwner
-	byID           map[string]*simWorker
+	byAddress      map[string]*simWorker
+	// expiring are the entries of crashed workers that have come back under another
+	// id, until the store removes them.
+	expiring []expiringEntry
+	crashes  int
+	// crashesUnder counts the crashes of workers under each task that causes them.
+	crashesUnder map[string]int
 	// onStart and onEnd, if not nil, are called for each start and each end at a
 	// worker.
 	onStart func(AttemptID, *simWorker)
@@ -66,6 +72,7 @@
 	fail        bool
 	longRunning bool
 	latencyMS   int64
+	crashAfter  time.Duration // crashes its worker after this time if it is not zero
 }
 
 type delivery struct {
@@ -76,6 +83,9 @@
 type simWorker struct {
 	sim           *simulation
 	id            string
+	address       string
+	downUntil     time.Time // after a crash
+	lives         int       // crashes after which it came back under another id
 	incarnation   int64
 	startedAt     time.Time
 	token         int64
@@ -114,14 +124,14 @@
 func newSimulation(seed uint64, workers int) *simulation {
 	sim := &simulation{
 		rng: rand.New(rand.NewPCG(seed, 7)), now: time.UnixMilli(1_700_000_000_000), recorded: make(map[string]*pb.StoredJob),
-		byID: make(map[string]*simWorker), runningOn: make(map[string]map[string]AttemptID), discardedDone: make(map[string]bool),
+		byAddress: make(map[string]*simWorker), runningOn: make(map[string]map[string]AttemptID), discardedDone: make(map[string]bool), crashesUnder: make(map[string]int),
 		taskFor: func(AttemptID) simTask { return simTask{work: 400 * time.Millisecond} },
 		config:  &Config{Version: 1, Queues: []Queue{{Name: "q", Pool: "s", MaxAttempts: 3, Stretch: 2, Allowance: time.Second}}},
 	}
 	for n := range workers {
-		sw := &simWorker{sim: sim, id: fmt.Sprintf("w%d", n), clockRate: 1 - 0.02*sim.rng.Float64(), capacity: Resources{8000, 16000, 0}, listed: true, rack: fmt.Sprintf("r%d", n/2)}
+		sw := &simWorker{sim: sim, id: fmt.Sprintf("w%d", n), address: fmt.Sprintf("w%d", n), clockRate: 1 - 0.02*sim.rng.Float64(), capacity: Resources{8000, 16000, 0}, listed: true, rack: fmt.Sprintf("r%d", n/2)}
 		sw.restart()
-		sim.workers, sim.byID[sw.id] = append(sim.workers, sw), sw
+		sim.workers, sim.byAddress[sw.address] = append(sim.workers, sw), sw
 	}
 	sim.takeOver()
 	return sim
@@ -178,15 +188,18 @@
 		sim.core.Cancel(id, sim.now)
 	}
 	for _, sw := range sim.workers {
-		if sw.listed {
+		if sw.listed && !sim.now.Before(sw.downUntil) {
 			sim.core.SetWorker(sw.entry(), sim.now)
 		}
 	}
+	for _, e := range sim.expiring {
+		sim.core.SetWorker(e.entry, sim.now)
+	}
 	sim.core.Start(sim.now)
 }
 
 func (sw *simWorker) entry() WorkerEntry {
-	return WorkerEntry{ID: sw.id, Pool: "s", Address: sw.id, Zone: "z", Rack: sw.rack, Labels: []string{"a", sw.rack}, Capacity: sw.capacity, Incarnation: sw.incarnation}
+	return WorkerEntry{ID: sw.id, Pool: "s", Address: sw.address, Zone: "z", Rack: sw.rack, Labels: []string{"a", sw.rack}, Capacity: sw.capacity, Incarnation: sw.incarnation}
 }
 
 func (sim *simulation) submit(sub *pb.Submission) {
@@ -223,6 +236,7 @@
 	for _, sw := range sim.workers {
 		sw.advance()
 	}
+	sim.expireEntries()
 	core := sim.core
 	sim.measure(func() { core.Tick(sim.now) })
 	sim.commit()
@@ -267,7 +281,7 @@
 
 // send delivers a command to its worker, subject to faults.
 func (sim *simulation) send(core *Core, o Command) {
-	target := sim.byID[o.Worker]
+	target := sim.byAddress[o.Address]
 	answer := func(r CommandResult) {
 		sim.after(simStep, func() {
 			if core == sim.core {
@@ -286,6 +300,10 @@
 		lost()
 		return
 	}
+	if sim.now.Before(target.downUntil) {
+		answer(CommandResult{Command: o, Err: fmt.Errorf("connection refused")})
+		return
+	}
 	x := sim.rng.Float64()
 	switch {
 	case x < sim.faults.drop:
