scheduler: records of attempts hold the address of their worker

Callers saw long-running tasks missing for 14 s after a takeover: the workers had crashed behind a cut and come back under other ids, and their entries were gone. Now the address is recorded with the attempt. Whoever answers there with another id shows that the worker's process has ended, since an address has one process at a time, and nobody else learns more than the old owner would have.

--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -45,7 +45,7 @@
 		out.Checkpoint = t.checkpoint
 	}
 	for _, a := range t.attempts {
-		out.Attempts = append(out.Attempts, &pb.StoredAttempt{Run: int32(a.attemptID.Number), Worker: a.worker.id})
+		out.Attempts = append(out.Attempts, &pb.StoredAttempt{Run: int32(a.attemptID.Number), Worker: a.worker.id, Address: a.worker.entry.Address})
 	}
 	return out
 }
@@ -138,6 +138,11 @@
 	}
 	for _, a := range stored.GetAttempts() {
 		w := c.worker(a.GetWorker())
+		if w.entry.Address == "" {
+			// The worker's entry may be gone. Whoever answers at its address tells
+			// whether the worker is.
+			w.entry.Address = a.GetAddress()
+		}
 		// The previous owner may or may not have sent the start.
 		c.addAttempt(t, w, int(a.GetRun()), now).recorded = true
 	}
--- /dev/null
+++ b/internal/scheduler/takeover_test.go
@@ -0,0 +1,58 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"gooseberryreel/internal/pb"
+)
+
+// Guards against a new owner that waits out the lease of a worker that no longer
+// exists: it came back, with its id or another one, before or just after the
+// takeover, and its old entry is gone.
+func TestTakeoverFindsReplacedWorkers(t *testing.T) {
+	for _, keepID := range []bool{false, true} {
+		for _, downAtTakeover := range []bool{false, true} {
+			t.Run(fmt.Sprintf("same id %v, down at takeover %v", keepID, downAtTakeover), func(t *testing.T) {
+				c := qt.New(t)
+				sim := newSimulation(1, 3)
+				sim.taskFor = func(AttemptID) simTask { return simTask{longRunning: true} }
+				step := simStepSpec(4, 2000)
+				step.Lasting = true
+				sim.submit(simJob(1, step))
+				sim.run(time.Second)
+				c.Assert(sim.starts, qt.Equals, 4)
+				// The owner does not see the crash: it is cut off from the worker.
+				for _, sw := range sim.workers {
+					if len(sw.active) > 0 {
+						sw.unreachable = true
+						sw.crash(keepID)
+					}
+				}
+				if !downAtTakeover {
+					sim.run(simDowntime + 100*time.Millisecond)
+				}
+				sim.expiring = nil
+				for _, sw := range sim.workers {
+					sw.unreachable = false
+				}
+				sim.takeOver()
+				took := sim.now
+				for sim.starts < 8 && sim.now.Sub(took) < 20*time.Second {
+					sim.step()
+				}
+				limit := 500 * time.Millisecond
+				if downAtTakeover {
+					limit += simDowntime
+				}
+				t.Logf("started again %v after the takeover", sim.now.Sub(took))
+				c.Check(sim.now.Sub(took) <= limit, qt.IsTrue, qt.Commentf("%v", sim.now.Sub(took)))
+				c.Check(sim.violations, qt.HasLen, 0)
+				c.Check(sim.core.State(fmt.Sprintf("%016x", 1)), qt.Equals, pb.PublicState_PUBLIC_STATE_RUNNING)
+			})
+		}
+	}
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -207,11 +207,20 @@
 		if !a.recorded {
 			continue
 		}
-		c.addLogEntry("lease expired", a.job().sub.GetRequestId(), "run", a.attemptID.String(), "worker", w.id, "silent_ms", now.Sub(w.answeredAt).Milliseconds())
+		c.addLogEntry("lease expired", a.job().sub.GetRequestId(), "run", a.attemptID.String(), "worker", w.id, "silent_ms", c.silence(w, now).Milliseconds())
 		c.loseAttempt(a, lossLeaseExpired, now)
 	}
 }
 
+// silence returns how long ago a worker answered this owner, counted from the takeover
+// if it never has.
+func (c *Core) silence(w *worker, now time.Time) time.Duration {
+	if w.answeredAt.IsZero() {
+		return now.Sub(c.startedAt)
+	}
+	return now.Sub(w.answeredAt)
+}
+
 // sendHold sends the next hold to a worker.
 func (c *Core) sendHold(w *worker, now time.Time) {
 	o := Command{Kind: CommandHold, Worker: w.id, Address: w.entry.Address, Domain: w.entry.Zone, Token: c.opts.Epoch, SentAt: now}
