scheduler: a task that crashes its workers is found and given up

Callers saw worker after worker crash under one task, 10 to 12 in 45 s, each with all that ran there, and their own jobs lost attempts up to 10 times. The cause: the end of an attempt by the loss of its worker was counted against nobody.

Losses can't simply be counted, since up to two thirds of the other attempts on a crashed worker are as young as the guilty one, and workers crash for other reasons. The first crash makes the young attempts' tasks suspects. A suspect starts again where no other attempt is young, and nothing is started beside it until it has outlived its earlier crashes, which clears it, as does its end. Crashes that it meets alone are compared with the observed rate of crashes of workers: the job fails when they would happen by chance with a probability below 1e-6, or with the fifth crash. Evidence is recorded with the task, and an attempt with the time of its placement and the incarnation of its worker, so that the next owner counts crashes around a takeover.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -22,7 +22,11 @@
 // addAttempt adds an attempt at a task that may be active on a worker, and charges
 // its resources to the worker.
 func (c *Core) addAttempt(t *task, w *worker, number int, now time.Time) *attempt {
-	a := &attempt{task: t, attemptID: t.idOfAttempt(number), worker: w, speed: 100, confirmedSpeed: 100, sentAt: now, progressAt: now, load: interference.NewLoadEstimate()}
+	a := &attempt{
+		task: t, attemptID: t.idOfAttempt(number), worker: w, speed: 100, confirmedSpeed: 100, sentAt: now, progressAt: now,
+		load: interference.NewLoadEstimate(), trial: t.suspect(), incarnation: w.incarnation,
+	}
+	w.newestStart = now
 	if !t.assigned() && !t.done {
 		t.step.waiting--
 	}
@@ -35,6 +39,7 @@
 // place assigns a task to a worker. The start is sent once it is recorded.
 func (c *Core) place(t *task, w *worker, number int, now time.Time) *attempt {
 	a := c.addAttempt(t, w, number, now)
+	a.placedAt = now
 	if c.disabled.startUnrecorded {
 		c.sendStart(a, now)
 	} else {
@@ -58,7 +63,7 @@
 		c.endAttempt(a, EndStopped, "", now)
 		return
 	}
-	a.sentAt, a.progressAt = now, now
+	a.sentAt, a.progressAt, w.newestStart = now, now, now
 	lease := w.clockNow(now) + startLease
 	c.grant(w, lease, now)
 	w.commandsInFlight++
@@ -215,13 +220,17 @@
 // started again once the worker has discarded the end.
 func (c *Core) handleLateEnd(w *worker, e EndedAttempt, now time.Time) {
 	j := c.jobs[e.AttemptID.Job]
-	if j == nil || e.Reason != EndDone || !j.active() {
+	if j == nil || !j.active() {
 		return
 	}
 	t := j.taskOf(e.AttemptID)
 	if t == nil || t.done {
 		return
 	}
+	c.withdrawCrash(t, e.AttemptID.Number)
+	if e.Reason != EndDone {
+		return
+	}
 	c.addLogEntry("late completion", j.sub.GetRequestId(), "run", e.AttemptID.String(), "worker", w.id)
 	c.markChanged(j)
 	c.taskDone(t, now)
@@ -247,7 +256,8 @@
 		if row.Progress != a.progress {
 			a.progress, a.progressAt = row.Progress, now
 		}
-		a.measured, a.measuredAt = row.Measured, now
+		a.measured, a.measuredAt, a.crash = row.Measured, now, nil
+		c.clearIfOutlived(a, now)
 		if row.Checkpoint != "" && a.step().spec.GetCheckpoints() {
 			a.task.checkpoint = row.Checkpoint
 		}
@@ -289,9 +299,10 @@
 		})
 		return nil
 	}
+	c.withdrawCrash(t, attemptID.Number)
 	wanted := j.active() && !t.done && !t.assigned() && attemptID.Number == t.lastAttempt && !t.step.spec.GetGang()
 	a := c.addAttempt(t, w, attemptID.Number, now)
-	a.recorded, a.seenAt = true, now
+	a.recorded, a.seenAt, a.placedAt = true, now, now
 	c.markChanged(j)
 	c.addLogEntry("unexpected attempt", j.sub.GetRequestId(), "run", attemptID.String(), "worker", w.id, "kept", wanted)
 	if !wanted {
@@ -335,10 +346,14 @@
 	fields := []any{"run", a.attemptID.String(), "worker", w.id, "how", reason.String(), "why", a.stopReason,
 		"ran_ms", now.Sub(a.sentAt).Milliseconds(), "percent", a.progress}
 	if reason == EndLost {
-		fields = append(fields, "cause", string(a.loss), "answered", !a.startedAt.IsZero() || !a.seenAt.IsZero(), "age_ms", a.ageAtSilence(now).Milliseconds())
+		fields = append(fields, "cause", string(a.loss), "answered", !a.startedAt.IsZero() || !a.seenAt.IsZero(), "age_ms", c.ageAtSilence(a, now).Milliseconds())
 	}
 	c.addLogEntry("attempt ended", j.sub.GetRequestId(), fields...)
-	if reason == EndFailed {
+	switch reason {
+	case EndLost:
+		c.addCrash(a, now)
+	case EndFailed:
+		c.clearCrashes(t, "the attempt failed and its worker did not crash")
 		c.countFailure(a, now)
 	}
 }
@@ -393,7 +408,7 @@
 	if !t.assigned() {
 		t.step.waiting--
 	}
-	t.done = true
+	t.done, t.crashes = true, nil
 	t.step.unfinished--
 	for _, a := range t.attempts {
 		if !t.step.spec.GetGang() {
--- a/internal/scheduler/best.go
+++ b/internal/scheduler/best.go
@@ -18,21 +18,21 @@
 // costIfFits returns the cost of a worker for a task, and false if it can't start
 // the task.
 func (p *pass) costIfFits(t *task, cand *candidate, q *Queue) (float64, bool) {
-	if !cand.fits(t, q, p.now) {
+	if !p.admits(cand, t) || !cand.fits(t, q, p.now) {
 		return 0, false
 	}
 	return p.cost(t, cand)
 }
 
 // ranking orders the workers that can start the tasks of one step by their costs.
-// The tasks of a step differ only in the worker that they avoid, so a placement
-// changes the cost of one worker, and a step of many tasks needs no scan of all
-// workers for each of them.
+// The tasks of a step differ only in the worker that they avoid and in whether they
+// are suspects, so a placement changes the cost of one worker, and a step of many
+// tasks needs no scan of all workers for each of them.
 type ranking struct {
 	pass       *pass
 	candidates []*candidate
 	queue      *Queue
-	task       *task             // stands for the tasks that avoid no worker
+	task       *task             // stands for the tasks that avoid no worker and are no suspects
 	entries    []rankedCandidate // a heap
 	starved    bool              // of the step when the costs were computed
 }
@@ -69,9 +69,9 @@
 // there is none.
 func (r *ranking) bestFor(t *task) *candidate {
 	switch {
-	case len(r.entries) == 0:
+	case len(r.entries) == 0 && !t.suspect():
 		return nil
-	case t.avoid != "":
+	case t.avoid != "" || t.suspect():
 		return r.pass.best(t, r.candidates, r.queue)
 	default:
 		return r.entries[0].candidate
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -143,23 +143,12 @@
 	// for these checks.
 	attemptsCheckedAt time.Time
 	stalledCheckedAt  time.Time
-	fenced            bool
-	out               Output
-	disabled          disabledRules
-}
-
-// disabledRules disables single mechanisms, so that tests can show which failure
-// each of them prevents.
-type disabledRules struct {
-	expireSilent       bool // attempts on a silent worker count as lost at once
-	startUnrecorded    bool // starts are sent before they are recorded
-	trustUnanswered    bool // a start without an answer counts as never carried out
-	discardUnrecorded  bool // workers discard ends before they are recorded
-	keepCursor         bool // a restarted worker is sent the cursor from before its restart
-	skipEvacuation     bool // tasks stay on a draining worker
-	ignoreInterference bool // fillers are placed by utilization alone and never throttled
-	earliestDueFirst   bool // steps are ordered by due time and uncorrected estimates alone
-	starveLongRunning  bool // long-running tasks wait behind short ones without a limit
+	// crashTimes are the crashes of workers within crashRateWindow.
+	crashTimes      []time.Time
+	restoredCrashes map[string]bool // addresses of workers in restored evidence
+	fenced          bool
+	out             Output
+	disabled        disabledRules
 }
 
 // New returns a core whose owner took over at the time now.
@@ -167,6 +156,7 @@
 	return &Core{
 		opts: o, startedAt: now, jobs: make(map[string]*job), cancelled: make(map[string]time.Time),
 		workers: make(map[string]*worker), model: interference.NewLatencyModel(), durations: make(durations),
+		restoredCrashes: make(map[string]bool),
 	}
 }
 
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -31,7 +32,9 @@
 	behaviour := sim.taskFor
 	sim.taskFor = func(id AttemptID) simTask {
 		task := behaviour(id)
-		task.crashAfter = guilty[id.TaskName()]
+		if task.crashAfter = guilty[id.TaskName()]; task.crashAfter > 0 {
+			task.work = task.crashAfter + time.Second
+		}
 		return task
 	}
 	checkStart := sim.onStart
@@ -154,10 +157,10 @@
 		if sw := sim.workers[sim.rng.IntN(len(sim.workers))]; sim.rng.IntN(10) == 0 {
 			sw.unreachable = false
 		}
-		if n%3 == 0 && n < 150 {
-			sub := simJob(n+1, simStepSpec(4, 1000), simStepSpec(2, 1000, 0))
-			if n%5 == 0 && n%30 != 0 {
-				task := AttemptID{Job: sub.GetId(), Step: n / 5 % 2, Task: n % 2}
+		if n%2 == 0 && n < 150 {
+			sub := simJob(n+1, simStepSpec(6, 1500), simStepSpec(3, 1500, 0))
+			if n%10 == 0 {
+				task := AttemptID{Job: sub.GetId(), Step: n / 10 % 2, Task: n / 10 % 3}
 				guilty[task.TaskName()] = time.Duration(10+sim.rng.IntN(80)) * time.Millisecond
 			}
 			sim.submit(sub)
@@ -169,6 +172,33 @@
 	return sim, checks
 }
 
+// Guards against crash histories whose checks find nothing.
+func TestCrashMechanismsAreNeeded(t *testing.T) {
+	const seeds = 40
+	for name, disabled := range map[string]disabledRules{
+		"count crashes against tasks":         {ignoreCrashes: true},
+		"restore the evidence":                {forgetCrashes: true},
+		"start suspects apart from others":    {noTrials: true},
+		"blame only attempts that were alone": {noTrials: true, blameAll: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			broken := 0
+			for seed := range uint64(seeds) {
+				sim, checks := crashHistory(seed, disabled)
+				failed := slices.ContainsFunc(sim.subs, func(sub *pb.Submission) bool {
+					return sim.core.State(sub.GetId()) == pb.PublicState_PUBLIC_STATE_FAILED && !checks.isGuilty(sub.GetId())
+				})
+				if failed || len(sim.violations) > 0 {
+					broken++
+				}
+			}
+			t.Logf("%d of %d histories break a limit or fail an innocent job without it", broken, seeds)
+			qt.Assert(t, broken > 0, qt.IsTrue)
+		})
+	}
+}
+
 // isGuilty reports whether a job has a task that crashes its workers.
 func (k *crashChecks) isGuilty(job string) bool {
 	for name := range k.guilty {
--- a/internal/scheduler/feasibility.go
+++ b/internal/scheduler/feasibility.go
@@ -20,6 +20,8 @@
 	// reserved is set if the worker is reserved for a starving task that does not
 	// fit yet.
 	reserved bool
+	// reservedForTrial is set if the worker is reserved for a suspect task.
+	reservedForTrial bool
 	// position is the candidate's index in the current ranking, -1 if it is not in it.
 	position int
 }
@@ -46,7 +48,7 @@
 		w.keptAt = now
 		w.kept.update()
 	}
-	w.kept.reserved = false
+	w.kept.reserved, w.kept.reservedForTrial = false, false
 	return w.kept
 }
 
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -54,6 +54,7 @@
 	lastAttempt int // number of the newest attempt
 	failures    int
 	checkpoint  string
+	crashes     []crash    // since the task last outlived the earlier ones
 	attempts    []*attempt // attempts that may be active on a worker
 	// avoid is the id of the worker on which the task last failed, stalled, was
 	// refused or was evicted.
@@ -73,7 +74,10 @@
 	// durationUsable is set if the task began without a checkpoint and was never
 	// throttled. Only then is its duration used to correct estimates.
 	durationUsable bool
-	recorded       bool      // the store has confirmed its record
+	recorded       bool // the store has confirmed its record
+	restored       bool // an earlier owner placed it
+	placedAt       time.Time
+	incarnation    int64     // of the worker when the attempt was placed, zero if unknown
 	sentAt         time.Time // when the start was sent
 	startedAt      time.Time // when the start was answered, zero while it may be in flight
 	seenAt         time.Time // when the worker first listed it
@@ -81,6 +85,8 @@
 	stopSentAt     time.Time // when the newest stop was sent
 	stoppedAt      time.Time // when a stop was answered
 	loss           lossCause // why it counts as lost, empty otherwise
+	crash          *crash    // of its worker, nil unless the worker was lost under it
+	trial          bool      // its task was a suspect when it was placed
 
 	progress   int       // as reported by the worker, see ActiveAttempt
 	progressAt time.Time // newest change of progress
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -69,7 +69,7 @@
 	// unplaced holds, for each set of requirements, the last request that no
 	// worker had enough free capacity for.
 	unplaced map[requirements]Resources
-	// reserved is the number of workers reserved for starving tasks.
+	// reserved is the number of workers reserved for starving and for suspect tasks.
 	reserved int
 }
 
@@ -143,7 +143,7 @@
 
 // placeTasks places tasks of a step until no worker can start one more. It returns
 // the number of tasks placed, and false if no worker had enough free capacity for
-// the last one. Workers are reserved for starving tasks that don't fit.
+// the last one. Workers are reserved for starving and suspect tasks that don't fit.
 func (p *pass) placeTasks(r rank, candidates []*candidate, q *Queue) (placed int, complete bool) {
 	ranked := p.newRanking(r.step, candidates, q)
 	for _, t := range r.step.tasks {
@@ -157,6 +157,10 @@
 			best.update()
 			ranked.update(best)
 			placed++
+		case t.suspect():
+			if p.reserveForTrial(t, candidates, q) {
+				ranked.compute()
+			}
 		case r.starving:
 			p.reserve(t, candidates, q)
 			ranked.compute()
@@ -240,7 +244,7 @@
 	for _, t := range s.tasks {
 		var best *candidate
 		for _, cand := range candidates {
-			if !cand.allows(t, q, p.now) || s.spec.GetSpread() > 0 && taken[cand]+cand.attemptsOfStep(s) >= int(s.spec.GetSpread()) {
+			if !p.admits(cand, t) || !cand.allows(t, q, p.now) || s.spec.GetSpread() > 0 && taken[cand]+cand.attemptsOfStep(s) >= int(s.spec.GetSpread()) {
 				continue
 			}
 			total := Resources{s.size.CPUMilli * int64(taken[cand]+1), s.size.MemoryMiB * int64(taken[cand]+1), s.size.Accelerators * int64(taken[cand]+1)}
--- a/internal/scheduler/ranking.go
+++ b/internal/scheduler/ranking.go
@@ -47,6 +47,12 @@
 	if t.avoid == w.id {
 		total += avoidCost
 	}
+	if t.suspect() {
+		total += trialNeighbourCost * float64(len(w.list))
+		if t.crashedUnder(w.entry.Address) {
+			total += avoidCost
+		}
+	}
 	if w.health.suspect() {
 		total += suspectCost
 	}
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -40,12 +40,14 @@
 }
 
 func (t *task) record() *pb.StoredTask {
-	out := &pb.StoredTask{Done: t.done, Run: int32(t.lastAttempt), Failures: int32(t.failures)}
+	out := &pb.StoredTask{Done: t.done, Run: int32(t.lastAttempt), Failures: int32(t.failures), Crashes: t.recordCrashes()}
 	if !t.done {
 		out.Checkpoint = t.checkpoint
 	}
 	for _, a := range t.attempts {
-		out.Attempts = append(out.Attempts, &pb.StoredAttempt{Run: int32(a.attemptID.Number), Worker: a.worker.id, Address: a.worker.entry.Address})
+		out.Attempts = append(out.Attempts, &pb.StoredAttempt{
+			Run: int32(a.attemptID.Number), Worker: a.worker.id, PlacedMs: a.placedAt.UnixMilli(), Incarnation: a.incarnation, Address: a.worker.entry.Address,
+		})
 	}
 	return out
 }
@@ -131,6 +133,9 @@
 
 func (c *Core) restoreTask(t *task, stored *pb.StoredTask, now time.Time) {
 	t.lastAttempt, t.failures, t.checkpoint = int(stored.GetRun()), int(stored.GetFailures()), stored.GetCheckpoint()
+	if !c.disabled.forgetCrashes {
+		c.restoreCrashes(t, stored.GetCrashes(), now)
+	}
 	if stored.GetDone() {
 		t.done = true
 		t.step.unfinished--
@@ -138,12 +143,14 @@
 	}
 	for _, a := range stored.GetAttempts() {
 		w := c.worker(a.GetWorker())
+		// The previous owner may or may not have sent the start.
+		restored := c.addAttempt(t, w, int(a.GetRun()), now)
+		restored.recorded, restored.restored, restored.placedAt = true, true, time.UnixMilli(a.GetPlacedMs())
+		restored.incarnation = a.GetIncarnation()
 		if w.entry.Address == "" {
 			// The worker's entry may be gone. Whoever answers at its address tells
 			// whether the worker is.
 			w.entry.Address = a.GetAddress()
 		}
-		// The previous owner may or may not have sent the start.
-		c.addAttempt(t, w, int(a.GetRun()), now).recorded = true
 	}
 }
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -45,6 +45,9 @@
 	services    int          // services on the worker
 	pastFillers []pastFiller // fillers that ended recently
 
+	trials      int       // attempts of suspect tasks
+	newestStart time.Time // of the attempts placed there
+
 	kept    *candidate // see candidate
 	keptAt  time.Time
 	changed bool // since kept was computed
@@ -83,6 +86,9 @@
 	if s.longRunning() && s.spec.GetLatencyTargetMs() > 0 {
 		w.services += int(sign)
 	}
+	if a.trial {
+		w.trials += int(sign)
+	}
 }
 
 // free returns the unrequested part of the worker's capacity.
@@ -203,6 +209,7 @@
 // expire ends the attempts on a worker whose lease has expired. A start that is not
 // recorded yet has not been sent, and will carry a lease of its own.
 func (c *Core) expire(w *worker, now time.Time) {
+	c.workerCrashed(w, now)
 	for _, a := range slices.Clone(w.list) {
 		if !a.recorded {
 			continue
@@ -266,6 +273,9 @@
 	if w.incarnation != r.Hold.Incarnation {
 		c.newIncarnation(w, r.Hold.Incarnation, now)
 	}
+	if !w.adopted {
+		c.crashedBeforeAdoption(w, now)
+	}
 	w.silentNoticed = time.Time{}
 	c.handleEnded(w, r.Hold, now)
 	c.reconcileActive(w, r.Hold, r.Command.SentAt, now)
@@ -289,6 +299,7 @@
 	if r.Refused == RefusedWrongWorker {
 		// Another worker answers at the address, so this one has ended.
 		c.RemoveWorker(w.id, now)
+		c.workerCrashed(w, now)
 		for _, a := range slices.Clone(w.list) {
 			c.loseAttempt(a, lossReplaced, now)
 		}
@@ -316,6 +327,7 @@
 		w.processed, w.cursor = 0, 0
 	}
 	w.health = health{}
+	c.workerCrashed(w, now)
 	for _, a := range slices.Clone(w.list) {
 		// A start that the worker had not listed yet may have reached it after its
 		// restart; the answers to the next holds show which.
