--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -49,6 +49,7 @@
 	// age is how old the attempt was when the worker fell silent, at most: for an
 	// attempt of an earlier owner it includes the time until the takeover.
 	age time.Duration
+	at  time.Time // when the loss was handled, zero if an earlier owner did
 	// alone is set if no attempt of another task there was as young.
 	alone bool
 }
@@ -80,7 +81,7 @@
 		// The age of an attempt that this owner has never seen is not known.
 		unknown := a.restored && a.seenAt.IsZero()
 		if age := c.ageAtSilence(a, now); a.recorded && (unknown || age <= crashMaxAge) {
-			a.crash = &crash{attempt: a.attemptID.Number, address: w.entry.Address, age: age, alone: c.disabled.blameAll || a.alone(age)}
+			a.crash = &crash{attempt: a.attemptID.Number, address: w.entry.Address, at: now, age: age, alone: c.disabled.blameAll || a.alone(age)}
 		}
 	}
 }
@@ -111,6 +112,7 @@
 	c.addLogEntry("crash under task", j.sub.GetRequestId(), "run", a.attemptID.String(), "worker", a.worker.id, "age_ms", a.crash.age.Milliseconds(),
 		"alone", a.crash.alone, "crashes", len(t.crashes), "chance", chance)
 	if len(t.crashes) >= maxCrashes || chance < coincidenceLimit {
+		c.crashTimes = slices.DeleteFunc(c.crashTimes, t.crashedAt) // their cause is known
 		c.finish(j, pb.JobPhase_JOB_PHASE_FAILED, "a task crashes the workers that start it", now)
 	}
 }
@@ -190,6 +192,11 @@
 	}
 }
 
+// crashedAt reports whether a worker was found lost under the task at a time.
+func (t *task) crashedAt(at time.Time) bool {
+	return slices.ContainsFunc(t.crashes, func(cr crash) bool { return cr.at.Equal(at) })
+}
+
 // crashedUnder reports whether the worker at an address was lost under the task.
 func (t *task) crashedUnder(address string) bool {
 	return slices.ContainsFunc(t.crashes, func(cr crash) bool { return cr.address == address })
@@ -212,6 +219,8 @@
 			c.restoredCrashes[cr.GetAddress()] = true
 			c.crashTimes = append(c.crashTimes, now)
 		}
-		t.crashes = append(t.crashes, crash{int(cr.GetRun()), cr.GetAddress(), time.Duration(cr.GetAgeMs()) * time.Millisecond, cr.GetAlone()})
+		t.crashes = append(t.crashes, crash{
+			attempt: int(cr.GetRun()), address: cr.GetAddress(), age: time.Duration(cr.GetAgeMs()) * time.Millisecond, alone: cr.GetAlone(),
+		})
 	}
 }
