--- /dev/null
+++ b/internal/scheduler/capacity_test.go
@@ -0,0 +1,129 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"gooseberryreel/internal/pb"
+)
+
+const (
+	// simEntryDelay bounds the time until a worker's entry shows a changed capacity.
+	simEntryDelay = 1500 * time.Millisecond
+	// simShrinkGrace is how long after a reduction starts may still rely on the larger
+	// capacity: the worker's entry has to reach the owner.
+	simShrinkGrace = 3*time.Second + simEntryDelay
+)
+
+// resize changes the capacity of a worker. Its entry shows the change after a delay.
+func (sw *simWorker) resize(capacity Resources, delay time.Duration) {
+	sim := sw.sim
+	sim.log("worker %s resized to %v", sw.id, capacity)
+	if !sw.capacity.FitsIn(capacity) {
+		sw.larger = append(sw.larger, pastCapacity{sw.capacity, sim.now.Add(simShrinkGrace)})
+	}
+	sw.capacity = capacity
+	sim.after(delay, func() {
+		if !sim.now.Before(sw.downUntil) && sw.listed {
+			sim.core.SetWorker(sw.entry(), sim.now)
+		}
+	})
+}
+
+// pastCapacity is a capacity that starts may rely on until a time.
+type pastCapacity struct {
+	capacity Resources
+	until    time.Time
+}
+
+// admitted reports whether resources in use fit the worker's capacity or one that it
+// had until recently.
+func (sw *simWorker) admitted(used Resources) bool {
+	if used.FitsIn(sw.capacity) {
+		return true
+	}
+	for _, p := range sw.larger {
+		if sw.sim.now.Before(p.until) && used.FitsIn(p.capacity) {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against a start that was placed before its worker's capacity shrank and is
+// sent long after, once the store has confirmed its record.
+func TestStartAfterCapacityShrank(t *testing.T) {
+	c := qt.New(t)
+	sim := newSimulation(1, 2)
+	sim.run(time.Second)
+	sim.commitDelay = 6 * time.Second
+	sim.submit(simJob(1, simStepSpec(4, 3000)))
+	sim.run(100 * time.Millisecond)
+	sim.workers[0].resize(Resources{2000, 16000, 0}, 0)
+	sim.run(7 * time.Second)
+	c.Check(sim.starts > 0, qt.IsTrue)
+	c.Check(sim.violations, qt.HasLen, 0)
+	sim.commitDelay = 0
+	sim.run(8 * time.Second)
+	c.Check(sim.core.State(fmt.Sprintf("%016x", 1)), qt.Equals, pb.PublicState_PUBLIC_STATE_COMPLETED)
+}
+
+// Guards against starts beyond the capacity of workers whose capacity shrinks and
+// grows while commands are lost, workers restart, the store is slow and owners are
+// replaced.
+func TestCapacityHistories(t *testing.T) {
+	seeds := 100
+	if testing.Short() {
+		seeds = 10
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			sim := capacityHistory(uint64(seed))
+			c.Check(sim.violations, qt.HasLen, 0)
+			sim.logViolation(t)
+			for id, s := range sim.states() {
+				c.Check(s, qt.Equals, pb.PublicState_PUBLIC_STATE_COMPLETED, qt.Commentf("job %s", id))
+			}
+		})
+	}
+}
+
+// capacityHistory simulates a random history in which the capacities of workers change,
+// and restores them at its end.
+func capacityHistory(seed uint64) *simulation {
+	sim := newSimulation(seed, 6)
+	sim.faults = networkFaults{loseReply: 0.03, late: 0.03, drop: 0.03}
+	sim.taskFor = func(r AttemptID) simTask {
+		return simTask{work: time.Duration(100+(r.Task*37+r.Step*61)%900) * time.Millisecond}
+	}
+	full := sim.workers[0].capacity
+	for n := range 300 {
+		sim.injectFault()
+		if n%4 == 0 {
+			part := int64(sim.rng.IntN(5))
+			sw := sim.workers[sim.rng.IntN(len(sim.workers))]
+			sw.resize(Resources{full.CPUMilli * part / 4, full.MemoryMiB * part / 4, 0}, time.Duration(sim.rng.IntN(int(simEntryDelay))))
+		}
+		if n%40 == 0 {
+			sim.commitDelay = time.Duration(sim.rng.IntN(4)) * time.Second
+		}
+		if n%5 == 0 && n < 240 {
+			filler := simStepSpec(2, 2000)
+			filler.Filler, filler.Image = true, "f0"
+			sim.submit(simJob(n+1, simStepSpec(4, 1500), simStepSpec(3, 1500, 0), filler))
+		}
+		sim.run(100 * time.Millisecond)
+	}
+	sim.clearFaults()
+	sim.commitDelay = 0
+	for _, sw := range sim.workers {
+		sw.resize(full, 0)
+	}
+	sim.run(40 * time.Second)
+	return sim
+}
