scheduler: test of crashing tasks in each kind of job

Simulated gangs break when a member's worker crashes, as workers do it; without that a gang counted as completed by its other members, and the six gang runs failed.

--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -208,3 +209,55 @@
 	}
 	return false
 }
+
+// Guards against a kind of job whose crashing tasks are not found, and one whose jobs
+// are blamed for the crashes of others.
+func TestCrashingTasksOfAllKinds(t *testing.T) {
+	for kind, newJob := range jobKinds {
+		for seed := range uint64(6) {
+			t.Run(fmt.Sprintf("%s/%d", kind, seed), func(t *testing.T) {
+				t.Parallel()
+				c := qt.New(t)
+				sim := newSimulation(seed, 12)
+				services := make(map[string]bool)
+				sim.taskFor = func(id AttemptID) simTask {
+					if services[id.Job] {
+						return simTask{longRunning: true, latencyMS: 8}
+					}
+					return simTask{work: time.Duration(200+100*(id.Task%5)) * time.Millisecond}
+				}
+				submit := func(name string, sub *pb.Submission) {
+					services[sub.GetId()] = name == "service"
+					sim.submit(sub)
+				}
+				crashing := newJob(sim, 7)
+				task := AttemptID{Job: crashing.GetId(), Task: int(seed) % int(crashing.GetSteps()[0].GetTasks())}
+				checks := newCrashChecks(sim, map[string]time.Duration{task.TaskName(): 20 * time.Millisecond})
+				names := slices.Sorted(maps.Keys(jobKinds))
+				for n := range 60 {
+					submit(names[n%len(names)], jobKinds[names[n%len(names)]](sim, 100+n))
+					if n == 10 {
+						submit(kind, crashing)
+					}
+					if n%20 == 15 {
+						sim.takeOver()
+					}
+					sim.run(100 * time.Millisecond)
+				}
+				sim.run(30 * time.Second)
+				c.Check(sim.violations, qt.HasLen, 0)
+				for id, s := range sim.states() {
+					want := pb.PublicState_PUBLIC_STATE_COMPLETED
+					switch {
+					case checks.isGuilty(id):
+						want = pb.PublicState_PUBLIC_STATE_FAILED
+					case services[id]:
+						want = pb.PublicState_PUBLIC_STATE_RUNNING
+					}
+					c.Check(s, qt.Equals, want, qt.Commentf("job %s", id))
+				}
+				sim.logViolation(t)
+			})
+		}
+	}
+}
--- a/internal/scheduler/simulated_crash_test.go
+++ b/internal/scheduler/simulated_crash_test.go
@@ -27,6 +27,9 @@
 	}
 	old := sw.entry()
 	sw.downUntil = sim.now.Add(simDowntime)
+	for _, a := range sw.activeAttempts() {
+		sw.breakGang(a.attemptID)
+	}
 	sw.restart()
 	sim.crashes++
 	if !keepID {
@@ -40,6 +43,24 @@
 	})
 }
 
+// breakGang ends the other members of the gang to which a lost attempt belongs.
+func (sw *simWorker) breakGang(lost AttemptID) {
+	for _, sub := range sw.sim.subs {
+		if sub.GetId() != lost.Job || !sub.GetSteps()[lost.Step].GetGang() {
+			continue
+		}
+		for _, other := range sw.sim.workers {
+			for _, a := range other.activeAttempts() {
+				member := a.attemptID
+				member.Task = lost.Task
+				if other != sw && member == lost {
+					other.finish(a, EndGangMemberEnded)
+				}
+			}
+		}
+	}
+}
+
 // crashUnder crashes the worker of an attempt whose task does so.
 func (sw *simWorker) crashUnder(a *simAttempt) {
 	if a.task.crashAfter == 0 {
