scheduler: no starts while the workers' entries are stale

The watch of the entries now tells the core up to when they are current, and the core neither places nor sends starts once that is 2.5 s ago. An idle read waits 1.5 s, so that an outage of all the store, in which nothing can be recorded anyway, is what usually triggers it.

--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -25,7 +25,7 @@
 		for _, r := range records {
 			change(r)
 		}
-	}, change)
+	}, change, nil)
 }
 
 // applyConfig decodes a configuration and puts it into force if it is newer than
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -30,13 +30,17 @@
 
 // watch tracks the newest record of each key of a partition until the context
 // ends. It calls reset with all records at the start and after records were trimmed
-// before they were read, and change for each later record. Reads are at least delay
-// apart.
-func (i *Instance) watch(ctx context.Context, p store.Partition, delay time.Duration, reset func([]store.Record), change func(store.Record)) {
+// before they were read, and change for each later record. After each successful read
+// it calls read, unless that is nil, with a time up to which all changes have been
+// passed on. Reads are at least delay apart.
+func (i *Instance) watch(
+	ctx context.Context, p store.Partition, delay time.Duration, reset func([]store.Record), change func(store.Record), read func(time.Time),
+) {
 	next := int64(-1)
 	var retry backoff
 	for ctx.Err() == nil {
 		var err error
+		currentAt := time.Now()
 		if next < 0 {
 			var records []store.Record
 			if records, next, err = i.store.Newest(ctx, p); err == nil {
@@ -45,22 +49,28 @@
 				next = -1
 			}
 		} else {
-			next, err = i.readOnce(ctx, p, next, change)
+			var waited time.Duration
+			next, waited, err = i.readOnce(ctx, p, next, change)
+			currentAt = currentAt.Add(waited)
+		}
+		if err == nil && next >= 0 && read != nil {
+			read(currentAt)
 		}
 		sleep(ctx, max(retry.after(err), delay))
 	}
 }
 
 // readOnce makes one read and returns the next offset, or -1 if the records at next
-// have been trimmed.
-func (i *Instance) readOnce(ctx context.Context, p store.Partition, next int64, change func(store.Record)) (int64, error) {
+// have been trimmed, and how long the store has waited in vain for a record.
+func (i *Instance) readOnce(ctx context.Context, p store.Partition, next int64, change func(store.Record)) (int64, time.Duration, error) {
+	start := time.Now()
 	b, err := i.store.Read(ctx, p, next, readWait)
 	if errors.Is(err, store.ErrTrimmed) {
 		i.log.WithField("event", "records trimmed before read").WithField("topic", p.Topic).WithField("from", next).Warn("store")
-		return -1, nil
+		return -1, 0, nil
 	}
 	if err != nil {
-		return next, err
+		return next, 0, err
 	}
 	if b.Unreadable > 0 {
 		i.metrics.unreadable.WithLabelValues(p.Topic).Add(float64(b.Unreadable))
@@ -69,7 +79,10 @@
 	for _, r := range b.Records {
 		change(r)
 	}
-	return b.Next, nil
+	if len(b.Records) > 0 || b.Unreadable > 0 {
+		return b.Next, 0, nil
+	}
+	return b.Next, min(time.Since(start), readWait), nil
 }
 
 // backoff is the delay between retries of a read.
@@ -131,5 +144,7 @@
 				apply(store.Record{Key: id})
 			}
 		}
-	}, apply)
+	}, apply, func(at time.Time) {
+		o.post(func(c *scheduler.Core, now time.Time) { c.EntriesRead(at, now) })
+	})
 }
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -52,15 +52,15 @@
 }
 
 // sendStart sends the start of a recorded attempt. It ends the attempt instead if
-// it is no longer wanted, or if its worker may not receive new work or has lost
-// capacity since the attempt was placed.
+// it is no longer wanted, or if its worker may not receive new work or has, or may
+// have, lost capacity since the attempt was placed.
 func (c *Core) sendStart(a *attempt, now time.Time) {
 	w := a.worker
 	if w.attempts[a.attemptID] != a {
 		return
 	}
 	a.recorded = true
-	if a.stopReason != "" || !a.job().active() || !w.usable(now) || !w.used.FitsIn(w.entry.Capacity) {
+	if a.stopReason != "" || !a.job().active() || !w.usable(now) || !w.used.FitsIn(w.entry.Capacity) || !c.entriesCurrent(now) {
 		c.endAttempt(a, EndStopped, "", now)
 		return
 	}
--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -26,11 +26,18 @@
 		sw.larger = append(sw.larger, pastCapacity{sw.capacity, sim.now.Add(simShrinkGrace)})
 	}
 	sw.capacity = capacity
-	sim.after(delay, func() {
-		if !sim.now.Before(sw.downUntil) && sw.listed {
-			sim.core.SetWorker(sw.entry(), sim.now)
-		}
-	})
+	sim.after(delay, sw.publish)
+}
+
+// publish passes the worker's entry to the owner once entries reach it.
+func (sw *simWorker) publish() {
+	sim := sw.sim
+	switch {
+	case sim.entriesDown:
+		sim.after(simStep, sw.publish)
+	case !sim.now.Before(sw.downUntil) && sw.listed:
+		sim.core.SetWorker(sw.entry(), sim.now)
+	}
 }
 
 // pastCapacity is a capacity that starts may rely on until a time.
@@ -71,9 +78,34 @@
 	c.Check(sim.core.State(fmt.Sprintf("%016x", 1)), qt.Equals, pb.PublicState_PUBLIC_STATE_COMPLETED)
 }
 
+// Guards against a start that relies on an entry of its worker from before an outage of
+// the entries alone: the capacity may have shrunk since.
+func TestNoStartOnStaleEntries(t *testing.T) {
+	c := qt.New(t)
+	sim := newSimulation(1, 2)
+	sim.run(time.Second)
+	sim.entriesDown = true
+	sim.workers[0].resize(Resources{1000, 16000, 0}, 0)
+	sim.workers[1].resize(Resources{1000, 16000, 0}, 0)
+	for n := range 100 {
+		sim.submit(simJob(n+1, simStepSpec(2, 3000)))
+		sim.run(100 * time.Millisecond)
+	}
+	c.Check(sim.starts > 0, qt.IsTrue)
+	c.Check(sim.violations, qt.HasLen, 0)
+	sim.entriesDown = false
+	for _, sw := range sim.workers {
+		sw.resize(Resources{8000, 16000, 0}, 0)
+	}
+	sim.run(40 * time.Second)
+	for id, s := range sim.states() {
+		c.Check(s, qt.Equals, pb.PublicState_PUBLIC_STATE_COMPLETED, qt.Commentf("job %s", id))
+	}
+}
+
 // Guards against starts beyond the capacity of workers whose capacity shrinks and
-// grows while commands are lost, workers restart, the store is slow and owners are
-// replaced.
+// grows while commands are lost, workers restart, the store is slow, entries don't
+// reach the owner and owners are replaced.
 func TestCapacityHistories(t *testing.T) {
 	seeds := 100
 	if testing.Short() {
@@ -112,6 +144,9 @@
 		if n%40 == 0 {
 			sim.commitDelay = time.Duration(sim.rng.IntN(4)) * time.Second
 		}
+		if sim.rng.IntN(20) == 0 {
+			sim.entriesDown = !sim.entriesDown
+		}
 		if n%5 == 0 && n < 240 {
 			filler := simStepSpec(2, 2000)
 			filler.Filler, filler.Image = true, "f0"
@@ -120,7 +155,7 @@
 		sim.run(100 * time.Millisecond)
 	}
 	sim.clearFaults()
-	sim.commitDelay = 0
+	sim.commitDelay, sim.entriesDown = 0, false
 	for _, sw := range sim.workers {
 		sw.resize(full, 0)
 	}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -143,6 +143,8 @@
 	// for these checks.
 	attemptsCheckedAt time.Time
 	stalledCheckedAt  time.Time
+	entriesReadAt     time.Time // see EntriesRead
+	entriesStale      bool      // as logged
 	// crashTimes are the crashes of workers within crashRateWindow.
 	crashTimes      []time.Time
 	restoredCrashes map[string]bool // addresses of workers in restored evidence
--- a/internal/scheduler/doc.go
+++ b/internal/scheduler/doc.go
@@ -20,7 +20,7 @@
 //
 //   - the intake records, in the order of the store (Submit, Cancel),
 //   - the configuration and the workers' entries (SetConfig, SetWorker,
-//     RemoveWorker),
+//     RemoveWorker, EntriesRead),
 //   - the results of commands (CommandDone) and of advice requests (AdviceDone),
 //     and
 //   - time (Tick).
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -8,7 +8,7 @@
 // plan runs a placement pass: it places waiting tasks on workers.
 func (c *Core) plan(now time.Time) {
 	c.updateReady(now)
-	if c.config == nil {
+	if c.config == nil || !c.checkEntries(now) {
 		return
 	}
 	pass := &pass{core: c, now: now, pools: make(map[string][]*candidate), unplaced: make(map[requirements]Resources)}
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -30,6 +30,7 @@
 	committing     *Batch
 	commitAt       time.Time
 	commitDelay    time.Duration // beyond one step
+	entriesDown    bool          // changes of workers' entries don't reach the owner
 	faults         networkFaults
 	disabled       disabledRules // mechanisms of the core that are disabled
 	violations     []string
@@ -239,6 +240,9 @@
 		sw.advance()
 	}
 	sim.expireEntries()
+	if !sim.entriesDown {
+		sim.core.EntriesRead(sim.now, sim.now)
+	}
 	core := sim.core
 	sim.measure(func() { core.Tick(sim.now) })
 	sim.commit()
