scheduler: a lost long-running task has waited since its worker fell silent

After a takeover, tasks whose loss was noticed at 30.5 s started at 34.5 s: a long-running task goes before short ones once it has waited for 3 s, and the wait counted from the time at which the loss was noticed, up to 14 s after the task last ran. It counts from the silence of its worker now, or from the takeover for a worker that never answered the new owner. TestLostLongRunningTaskHasWaited failed before: no start within 0.8 s after the loss was noticed.

--- a/internal/scheduler/loss.go
+++ b/internal/scheduler/loss.go
@@ -12,10 +12,26 @@
 	lossUnlisted     lossCause = "unlisted" // the worker answers and doesn't list it
 )
 
-// loseAttempt ends an attempt that its worker no longer runs.
+// loseAttempt ends an attempt that its worker no longer runs. Its task has waited since
+// the worker fell silent.
 func (c *Core) loseAttempt(a *attempt, cause lossCause, now time.Time) {
 	a.loss = cause
+	since := c.silentAt(a.worker, now)
 	c.endAttempt(a, EndLost, "", now)
+	a.task.endedAt = since
+}
+
+// silentAt returns when a worker fell silent, or now if it answers. A worker that has
+// never answered this owner has been silent since the takeover or before.
+func (c *Core) silentAt(w *worker, now time.Time) time.Time {
+	switch {
+	case !w.adopted:
+		return c.startedAt
+	case !w.silentNoticed.IsZero():
+		return w.silentNoticed
+	default:
+		return now
+	}
 }
 
 // beganAt returns when the start of an attempt was sent or, if an earlier owner sent
@@ -27,16 +43,7 @@
 	return a.sentAt
 }
 
-// ageAtSilence returns how old an attempt was when its worker fell silent, or now if
-// the worker answers. A worker that has never answered this owner has been silent
-// since the takeover or before.
+// ageAtSilence returns how old an attempt was when its worker fell silent.
 func (c *Core) ageAtSilence(a *attempt, now time.Time) time.Duration {
-	w := a.worker
-	switch {
-	case !w.adopted:
-		now = c.startedAt
-	case !w.silentNoticed.IsZero():
-		now = w.silentNoticed
-	}
-	return max(now.Sub(a.beganAt()), 0)
+	return max(c.silentAt(a.worker, now).Sub(a.beganAt()), 0)
 }
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -56,3 +56,39 @@
 		}
 	}
 }
+
+// Guards against a long-running task that waits behind short ones from the time at
+// which its loss was noticed, although it has not run since its worker fell silent.
+func TestLostLongRunningTaskHasWaited(t *testing.T) {
+	c := qt.New(t)
+	sim := newSimulation(1, 3)
+	service := simStepSpec(1, 4000)
+	service.Lasting = true
+	sim.taskFor = func(id AttemptID) simTask {
+		if id.Job == fmt.Sprintf("%016x", 1) {
+			return simTask{longRunning: true}
+		}
+		return simTask{work: 300 * time.Millisecond}
+	}
+	sim.submit(simJob(1, service))
+	sim.run(500 * time.Millisecond)
+	var crashed *simWorker
+	for _, sw := range sim.workers {
+		if len(sw.active) > 0 {
+			crashed = sw
+		}
+	}
+	crashed.crash(false)
+	for n := range 40 { // more short tasks than fit
+		sim.submit(simJob(10+n, simStepSpec(10, 4000)))
+	}
+	starts := 0
+	sim.onStart = func(id AttemptID, _ *simWorker) {
+		if id.Job == fmt.Sprintf("%016x", 1) {
+			starts++
+		}
+	}
+	sim.run(simDowntime + 800*time.Millisecond)
+	c.Check(starts, qt.Equals, 1)
+	c.Check(sim.violations, qt.HasLen, 0)
+}
