--- a/internal/processtest/jobs_faults_test.go
+++ b/internal/processtest/jobs_faults_test.go
@@ -82,7 +82,9 @@
 // longer than a lease.
 func TestTaskLeasesLapse(t *testing.T) {
 	t.Parallel()
-	j := newJobHarness(t, 103, 2, 4000, []standin.Workload{{Name: "long", RunMS: 3000}})
+	// The jobs outlast the time until all of them have been seen running, also on a
+	// busy machine.
+	j := newJobHarness(t, 103, 2, 4000, []standin.Workload{{Name: "long", RunMS: 9000}})
 	j.declareJob("long", 1000, false)
 	j.awaitOwners(j.entries...)
 	var ids []string
