soak: crashing tasks, workers that crash, and capacities that shrink

Emulated workers can crash, by a fault or by a task, and come back behind the same address with their id or another one; their capacity can shrink and grow; and one job in twelve has a task that crashes its workers. New checks: such a job fails after two crashes at least, its task is started twice at most after the third crash, no other job fails, and no start exceeds a capacity.

--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -11,17 +11,6 @@
 	"time"
 )
 
-// Behaviour describes what an attempt of a task does.
-type Behaviour struct {
-	RunTime time.Duration
-	// Fail makes the attempt end as failed after RunTime.
-	Fail bool
-	// LongRunning makes the attempt run until it is stopped, with the reported tail
-	// latency TailLatencyMS.
-	LongRunning   bool
-	TailLatencyMS int
-}
-
 // CommandFault selects how a command to a worker fails.
 type CommandFault int
 
@@ -59,11 +48,12 @@
 	done        map[string]int
 	unackedDone map[string]int // ends as done that were lost with their worker, by task
 	violations  []string
+	crashes     crashCounts
 }
 
 // NewCluster returns a cluster with the given BehaviourOf function.
 func NewCluster(behaviourOf func(task string, attempt int) Behaviour) *Cluster {
-	return &Cluster{BehaviourOf: behaviourOf, running: make(map[string]map[string]bool), done: make(map[string]int), unackedDone: make(map[string]int)}
+	return &Cluster{BehaviourOf: behaviourOf, running: make(map[string]map[string]bool), done: make(map[string]int), unackedDone: make(map[string]int), crashes: newCrashCounts()}
 }
 
 // Starts returns all starts so far, in order.
@@ -92,6 +82,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.starts = append(c.starts, st)
+	c.checkCrashes(st)
 	if len(c.running[st.Task]) > 0 {
 		c.violations = append(c.violations, fmt.Sprintf("%s attempt %d started on %s while another attempt was running", st.Task, st.Attempt, st.Worker))
 	}
@@ -140,6 +131,9 @@
 	endSignal    chan struct{}                  // closed when an attempt ends
 	fault        func(path string) CommandFault // nil for no faults
 	closed       chan struct{}
+	capacity     capacity
+	onCrash      func()
+	dead         bool // closed or crashed by a task; it executes nothing more
 }
 
 type activeAttempt struct {
@@ -201,6 +195,7 @@
 	w.server.Close()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.dead = true
 	for _, attempt := range w.active {
 		w.cluster.ended(attempt.task, w.ID, false)
 	}
@@ -241,47 +236,6 @@
 // clock returns the time on the worker's clock, which starts with the worker.
 func (w *Worker) clock() time.Duration { return time.Since(w.clockStart) }
 
-func (w *Worker) inject(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		if id := r.Header.Get("X-Gooseberryreel-Target-Instance"); id != "" && id != w.ID {
-			rw.WriteHeader(http.StatusMisdirectedRequest)
-			return
-		}
-		w.mu.Lock()
-		choose := w.fault
-		w.mu.Unlock()
-		fault := CommandOK
-		if choose != nil {
-			fault = choose(r.URL.Path)
-		}
-		switch fault {
-		case CommandOK:
-			next.ServeHTTP(rw, r)
-		case CommandLoseResponse:
-			next.ServeHTTP(httptest.NewRecorder(), r)
-			closeWithoutResponse(rw)
-		case CommandDelayed:
-			var body json.RawMessage
-			_ = json.NewDecoder(r.Body).Decode(&body) // an incomplete body is a command that never arrived
-			late := r.Clone(r.Context())
-			time.AfterFunc(faultDelay, func() {
-				late.Body = http.NoBody
-				if len(body) > 0 {
-					late.Body = readCloser{&sliceReader{body}}
-				}
-				next.ServeHTTP(httptest.NewRecorder(), late)
-			})
-			closeWithoutResponse(rw)
-		case CommandDropped:
-			closeWithoutResponse(rw)
-		}
-	})
-}
-
-type readCloser struct{ *sliceReader }
-
-func (readCloser) Close() error { return nil }
-
 // command is the union of the bodies of all commands.
 type command struct {
 	Task         string
@@ -303,11 +257,16 @@
 		w.refuse(rw, http.StatusBadRequest, "")
 		return cmd, false
 	}
+	if w.dead {
+		w.refuse(rw, http.StatusServiceUnavailable, "")
+		return cmd, false
+	}
 	if cmd.FencingToken < w.token {
 		w.refuse(rw, http.StatusConflict, "fence")
 		return cmd, false
 	}
 	w.token = cmd.FencingToken
+	w.cluster.observeToken(w.token)
 	w.advance()
 	return cmd, true
 }
@@ -326,6 +285,9 @@
 // advance ends the attempts that are finished, and all attempts if the lease has
 // expired. The caller holds the lock.
 func (w *Worker) advance() {
+	if w.dead {
+		return
+	}
 	now := w.clock()
 	for key, attempt := range w.active {
 		leaseExpired := w.clockStart.Add(w.leaseEnd).Before(time.Now())
@@ -374,6 +336,10 @@
 		w.extendLease(cmd.DeadlineMs)
 		w.active[key] = &activeAttempt{task: cmd.Task, attempt: cmd.RunId, started: time.Now(), behaviour: w.cluster.BehaviourOf(cmd.Task, cmd.RunId), throttle: 100}
 		w.cluster.started(TaskStart{cmd.Task, cmd.RunId, w.ID, cmd.FencingToken, cmd.Checkpoint, time.Now()})
+		if r.Context().Value(delayedKey{}) == nil {
+			w.checkCapacity(key)
+		}
+		w.scheduleCrash(key)
 	}
 	writeJSON(rw, http.StatusOK, map[string]any{"ClockMs": w.clock().Milliseconds()})
 }
@@ -429,6 +395,10 @@
 		w.mu.Lock()
 		w.advance()
 	}
+	if w.dead {
+		closeWithoutResponse(rw)
+		return
+	}
 	active, ended := [][]any{}, [][]any{}
 	for _, attempt := range w.active {
 		active = append(active, w.row(attempt))
--- a/internal/loopback/proxy.go
+++ b/internal/loopback/proxy.go
@@ -90,6 +90,13 @@
 	p.closeConnsLocked()
 }
 
+// SetUpstream changes the address to which later connections are forwarded.
+func (p *Proxy) SetUpstream(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.upstream = address
+}
+
 // SetDelay sets the delay of each piece of data.
 func (p *Proxy) SetDelay(d time.Duration) {
 	p.mu.Lock()
@@ -184,7 +191,10 @@
 	if !p.waitToForward(true) {
 		return
 	}
-	server, err := net.Dial("tcp", p.upstream)
+	p.mu.Lock()
+	upstream := p.upstream
+	p.mu.Unlock()
+	server, err := net.Dial("tcp", upstream)
 	if err != nil || !p.track(server) {
 		return
 	}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -22,6 +22,11 @@
 	visibleBound = 9 * time.Second
 	// drainTimeout only ends a run that hangs.
 	drainTimeout = 90 * time.Second
+	// crashingJobs: one job of so many has a task that crashes its workers.
+	crashingJobs = 12
+	// minCrashes is the number of workers that must have crashed under a task before
+	// its job may be shown as failed.
+	minCrashes = 2
 )
 
 // caller submits jobs over persistent connections and checks their states.
@@ -102,6 +107,7 @@
 	for range steps {
 		j.tasks = append(j.tasks, 1+c.rng.IntN(4))
 	}
+	j.crashing = n%crashingJobs == crashingJobs-1
 	c.deployment.mu.Lock()
 	defer c.deployment.mu.Unlock()
 	c.deployment.jobs[j.id] = j
@@ -111,7 +117,7 @@
 func (j *trackedJob) body() map[string]any {
 	var steps []map[string]any
 	for n, tasks := range j.tasks {
-		step := map[string]any{"Count": tasks, "Cpu": 500, "MemMb": 256, "EstimateMs": 200}
+		step := map[string]any{"Count": tasks, "Cpu": taskCPUMilli, "MemMb": taskMemoryMiB, "EstimateMs": 200}
 		if j.longRunning {
 			step["LongRunning"] = true
 		}
@@ -196,6 +202,11 @@
 		return false
 	case j.completed && state != "completed":
 		c.deployment.addFinding("job %s: reported as %s after it was reported as completed", j.id, state)
+	case state == "failed" && j.crashing && c.deployment.cluster.Crashes(j.id+".0.0.0") >= minCrashes:
+		return true
+	case state == "completed" && j.crashing:
+		c.deployment.addFinding("job %s: reported as completed although its task crashes its workers", j.id)
+		return true
 	case state == "failed", state == "aborted" && !j.cancelSent:
 		c.deployment.addFinding("job %s: reported as %s without cause", j.id, state)
 		return true
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -18,6 +18,9 @@
 	pool          = "pool"
 	queueHost     = "pick.example"
 	jobPathPrefix = "/jobs/"
+
+	workerCPUMilli, workerMemoryMiB = 8000, 16000
+	taskCPUMilli, taskMemoryMiB     = 500, 256
 )
 
 // deployment is the emulated platform with the scheduler processes that run on it.
@@ -32,6 +35,7 @@
 	jobs     map[string]*trackedJob
 	version  int
 	findings []string
+	crashes  sync.WaitGroup // workers that are down or come back
 }
 
 // emulatedWorker is an emulated worker behind a proxy.
@@ -39,6 +43,8 @@
 	*emulator.Worker
 	proxy   *loopback.Proxy
 	leaving bool
+	cpu     int64 // capacity, which may shrink
+	lives   int   // crashes after which it came back under another id
 	// restarting is held while a new incarnation starts, so that only one starts
 	// at a time.
 	restarting sync.Mutex
@@ -49,6 +55,7 @@
 	id          string
 	tasks       []int // number of tasks by step; each step depends on the one before
 	longRunning bool
+	crashing    bool // its first task crashes the workers that start it
 
 	mu          sync.Mutex
 	accepted    time.Time // zero until the job is accepted
@@ -63,7 +70,7 @@
 	d.cluster = emulator.NewCluster(d.checkStart)
 	d.publishConfig()
 	for n := range o.Workers {
-		d.workers = append(d.workers, &emulatedWorker{})
+		d.workers = append(d.workers, &emulatedWorker{cpu: workerCPUMilli})
 		if err := d.startWorker(n); err != nil {
 			return d, err
 		}
@@ -83,6 +90,7 @@
 }
 
 func (d *deployment) close() {
+	d.crashes.Wait()
 	for _, p := range d.processes {
 		p.close()
 	}
@@ -129,7 +137,9 @@
 	restarting := &d.workers[n].restarting
 	restarting.Lock()
 	defer restarting.Unlock()
-	id := fmt.Sprintf("i-%d", n)
+	d.mu.Lock()
+	id := d.workers[n].id(n)
+	d.mu.Unlock()
 	worker := emulator.NewWorker(id, d.cluster)
 	proxy, err := loopback.New(worker.Address(), nil)
 	if err != nil {
@@ -149,13 +159,15 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	w.Worker, w.proxy, w.leaving = worker, proxy, false
+	d.watchCrashes(n)
 	d.publishWorker(w, "ready")
 	return nil
 }
 
 // publishWorker writes the worker's record to the store. The caller holds d.mu.
 func (d *deployment) publishWorker(w *emulatedWorker, state string) {
-	record := w.StoreRecord(pool, "z", "r1-1", 8000, 16000, state)
+	w.SetCapacity(w.cpu, workerMemoryMiB)
+	record := w.StoreRecord(pool, "z", "r1-1", w.cpu, workerMemoryMiB, state)
 	record["Address"] = w.proxy.Address
 	if err := d.store.PutJSON("keyed.servers", w.ID, record); err != nil {
 		d.findings = append(d.findings, err.Error())
@@ -195,7 +207,15 @@
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(task)) // never fails
 	runTime := time.Duration(50+h.Sum32()%500) * time.Millisecond
-	return emulator.Behaviour{RunTime: runTime, LongRunning: j.longRunning, TailLatencyMS: 5, Fail: !j.longRunning && h.Sum32()%50 == 0 && number == 1}
+	b := emulator.Behaviour{
+		RunTime: runTime, LongRunning: j.longRunning, TailLatencyMS: 5, Fail: !j.longRunning && h.Sum32()%50 == 0 && number == 1,
+		CPUMilli: taskCPUMilli, MemoryMiB: taskMemoryMiB,
+	}
+	if j.crashing && attempt.Step == 0 && attempt.Task == 0 {
+		b.Fail, b.CrashAfter = false, time.Duration(5+h.Sum32()%40)*time.Millisecond
+		b.RunTime += b.CrashAfter
+	}
+	return b
 }
 
 // inject starts a fault and returns the function that ends it.
@@ -336,6 +356,11 @@
 				d.addFinding("soak: start worker: %v", err)
 			}
 		}
+	case WorkerCrash:
+		d.crashWorker(n, worker, f.For, n%2 == 0)
+	case WorkerResized:
+		d.resizeWorker(w, workerCPUMilli/4)
+		return func() { d.resizeWorker(w, workerCPUMilli) }
 	case CommandResponsesLost:
 		return injectCalls(emulator.CommandLoseResponse)
 	case CommandsDelayed:
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -41,6 +41,8 @@
 	CommandResponsesLost Kind = "command responses lost"
 	CommandsDelayed      Kind = "commands delayed"
 	ConfigChange         Kind = "configuration"
+	WorkerCrash          Kind = "worker crash"
+	WorkerResized        Kind = "worker resized"
 )
 
 var kinds = []Kind{
@@ -48,6 +50,10 @@
 	StorePartlyDown, StoreTrimmed, CallersReset, WorkerStalled, WorkerStalledOneWay, WorkerRestart, WorkerLeaves, CommandResponsesLost, CommandsDelayed, ConfigChange,
 }
 
+// workerKinds are drawn apart from the other kinds, so that the seeds of runs from
+// before them keep their faults.
+var workerKinds = []Kind{WorkerCrash, WorkerResized}
+
 // Fault is one fault of a plan.
 type Fault struct {
 	// At is the time of its start since the start of the plan, For its duration.
@@ -95,6 +101,8 @@
 	// followUpShare is the fraction of faults that a second fault on the same
 	// target follows after a quarter of the time to the next one.
 	followUpShare = 0.3
+	// workerKindsGap is the mean time between the starts of faults of workerKinds.
+	workerKindsGap = 1500 * time.Millisecond
 )
 
 // Plan returns the faults of a seed in the order of their start times.
@@ -119,13 +127,27 @@
 		}
 		at += gap
 	}
+	faults = append(faults, planWorkerKinds(o)...)
 	slices.SortStableFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return faults
 }
 
+// planWorkerKinds returns the faults of workerKinds.
+func planWorkerKinds(o Options) []Fault {
+	rng := rand.New(rand.NewPCG(o.Seed, 2))
+	var faults []Fault
+	for at := time.Second; at < o.Duration-faultFreeTail; at += time.Duration(rng.ExpFloat64() * float64(workerKindsGap)) {
+		faults = append(faults, Fault{
+			At: at, For: time.Duration(float64(3*time.Second) * (0.1 + rng.Float64())),
+			Kind: workerKinds[rng.IntN(len(workerKinds))], Target: rng.IntN(o.Workers), All: rng.Float64() < allTargetsShare/2,
+		})
+	}
+	return faults
+}
+
 func (k Kind) targetsWorkers() bool {
 	switch k {
-	case WorkerStalled, WorkerStalledOneWay, WorkerRestart, WorkerLeaves, CommandResponsesLost, CommandsDelayed:
+	case WorkerStalled, WorkerStalledOneWay, WorkerRestart, WorkerLeaves, CommandResponsesLost, CommandsDelayed, WorkerCrash, WorkerResized:
 		return true
 	}
 	return false
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -17,6 +17,9 @@
 	// The emulator counted the end of a task that was lost with its worker as
 	// received by the scheduler, and later (101, 110, 113) as never received.
 	1, 101,
+	// The emulator let a crashed worker complete a second task that crashes it, and
+	// executed delayed commands on a worker that had been closed.
+	3, 7000,
 }
 
 // Guards against violations of the system's guarantees, as callers and workers see
