scheduler: crashes of draining workers count against young attempts

A worker that is told to drain may crash under a task that was started just before. A draining worker receives no starts and leaves more than 1 s later, so an attempt that was younger when the worker fell silent did not end by plan.

TestCrashOfDrainingWorkerCounts failed before: four crashes, now three.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -19,6 +19,9 @@
 	// crashMaxAge is the age of an attempt from which the crash of its worker is no
 	// evidence against it.
 	crashMaxAge = 5 * time.Second
+	// drainedMaxAge replaces it on a draining worker. Such a worker receives no starts
+	// and leaves as planned after more than that.
+	drainedMaxAge = time.Second
 	// promptCrashAge is the age up to which the first crash makes a task a suspect. A
 	// task that crashes its worker later becomes one with the second crash.
 	promptCrashAge = 300 * time.Millisecond
@@ -55,7 +58,7 @@
 }
 
 // workerCrashed handles the loss of a worker: it counts the crash, and as evidence
-// against the attempts there. A drained worker leaves as planned.
+// against the attempts there.
 func (c *Core) workerCrashed(w *worker, now time.Time) {
 	c.countCrash(w, w.list, now)
 }
@@ -73,14 +76,19 @@
 }
 
 func (c *Core) countCrash(w *worker, lost []*attempt, now time.Time) {
-	if w.entry.Draining || c.disabled.ignoreCrashes || !slices.ContainsFunc(lost, func(a *attempt) bool { return a.recorded }) {
+	if c.disabled.ignoreCrashes || !slices.ContainsFunc(lost, func(a *attempt) bool { return a.recorded }) {
 		return
 	}
-	c.crashTimes = append(c.crashTimes, now)
+	limit := crashMaxAge
+	if w.entry.Draining {
+		limit = drainedMaxAge
+	} else {
+		c.crashTimes = append(c.crashTimes, now)
+	}
 	for _, a := range lost {
 		// The age of an attempt that this owner has never seen is not known.
-		unknown := a.restored && a.seenAt.IsZero()
-		if age := c.ageAtSilence(a, now); a.recorded && (unknown || age <= crashMaxAge) {
+		unknown := a.restored && a.seenAt.IsZero() && !w.entry.Draining
+		if age := c.ageAtSilence(a, now); a.recorded && (unknown || age <= limit) {
 			a.crash = &crash{attempt: a.attemptID.Number, address: w.entry.Address, at: now, age: age, alone: c.disabled.blameAll || a.alone(age)}
 		}
 	}
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -112,6 +112,24 @@
 	c.Check(sim.epoch > 3, qt.IsTrue, qt.Commentf("epoch %d", sim.epoch))
 }
 
+// Guards against a crash that is not counted since its worker was draining, as a worker
+// that leaves does not crash. Found by seed 8211 of the soak.
+func TestCrashOfDrainingWorkerCounts(t *testing.T) {
+	c := qt.New(t)
+	sim := newSimulation(1, 12)
+	crashing := simJob(20, simStepSpec(4, 1000))
+	task := AttemptID{Job: crashing.GetId(), Task: 1}.TaskName()
+	sim.onStart = func(id AttemptID, sw *simWorker) {
+		if id.TaskName() == task && id.Number == 2 {
+			entry := sw.entry()
+			entry.Draining = true
+			sim.after(0, func() { sim.core.SetWorker(entry, sim.now) })
+		}
+	}
+	newCrashChecks(sim, map[string]time.Duration{task: 20 * time.Millisecond}).run(c, crashing)
+	c.Check(sim.crashes, qt.Equals, 3)
+}
+
 // Guards against innocent jobs that fail, and crashing tasks that are started without
 // a limit, while workers crash for other reasons, also in groups, and owners are
 // replaced.
