daemon: measure the owner's loop by kind of work

When the owner was late, no log line and no metric said with what. The loop now measures the time of each kind of work, the wait of its events and what the placement passes visit, in a line a second and as metrics. Core.Tick consists of Advance and Pass, so that a pass is measured apart; its decisions are unchanged.

--- a/internal/daemon/admission.go
+++ b/internal/daemon/admission.go
@@ -201,7 +201,7 @@
 		var backlogs []scheduler.QueueBacklog
 		var at time.Time
 		var computedAt time.Time
-		if o.postAndWait(o.ctx, func(c *scheduler.Core) {
+		if o.postAndWait(o.ctx, workBacklog, func(c *scheduler.Core) {
 			at, computedAt = time.Now(), admissionTime()
 			backlogs = c.Backlog(at)
 		}) != nil {
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -174,7 +174,7 @@
 	waiting := int64(0)
 	err := i.queryOwner(ctx, "queue length",
 		func(ctx context.Context, o *ownerTerm) error {
-			return o.postAndWait(ctx, func(c *scheduler.Core) { waiting = c.Waiting(queue) })
+			return o.postAndWait(ctx, workQueries, func(c *scheduler.Core) { waiting = c.Waiting(queue) })
 		},
 		func(ctx context.Context, client pb.DRPCJobsClient) (bool, error) {
 			reply, err := client.QueueLength(ctx, &pb.QueueLengthRequest{Queue: queue})
@@ -245,7 +245,7 @@
 		return &pb.QueueLengthReply{}, nil
 	}
 	reply := &pb.QueueLengthReply{}
-	err := o.postAndWait(ctx, func(c *scheduler.Core) { reply.Waiting = c.Waiting(r.GetQueue()) })
+	err := o.postAndWait(ctx, workQueries, func(c *scheduler.Core) { reply.Waiting = c.Waiting(r.GetQueue()) })
 	reply.Owner = err == nil
 	return reply, err
 }
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -57,7 +57,7 @@
 	i.metrics.configVersion.Set(float64(c.Version))
 	i.log.WithField("event", "configuration in force").WithField("version", c.Version).WithField("queues", len(c.Queues)).Info("configuration")
 	if o := i.currentTerm(); o != nil {
-		o.post(func(core *scheduler.Core, _ time.Time) { core.SetConfig(c) })
+		o.post(workConfig, func(core *scheduler.Core, _ time.Time) { core.SetConfig(c) })
 	}
 }
 
--- a/internal/daemon/intake_reader.go
+++ b/internal/daemon/intake_reader.go
@@ -93,7 +93,7 @@
 		}
 		parsed = append(parsed, record)
 	}
-	return o.postAndWait(o.ctx, func(c *scheduler.Core) {
+	return o.postAndWait(o.ctx, workIntake, func(c *scheduler.Core) {
 		now := time.Now()
 		for _, r := range parsed {
 			if sub := r.GetSubmission(); sub != nil {
@@ -137,7 +137,7 @@
 // ends and has not found it.
 func (o *ownerTerm) state(ctx context.Context, id string) (pb.PublicState, error) {
 	state := pb.PublicState_PUBLIC_STATE_UNKNOWN
-	readState := func() error { return o.postAndWait(ctx, func(c *scheduler.Core) { state = c.State(id) }) }
+	readState := func() error { return o.postAndWait(ctx, workQueries, func(c *scheduler.Core) { state = c.State(id) }) }
 	if err := readState(); err != nil || state != pb.PublicState_PUBLIC_STATE_UNKNOWN {
 		return state, err
 	}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -32,6 +32,7 @@
 	evacuations    *evacuationMetrics
 	nearWaits      *prometheus.HistogramVec
 	nearErrors     prometheus.Histogram
+	loop           *loopMetrics
 }
 
 // latencyBuckets are in seconds, from a response from memory to a caller's deadline.
@@ -81,6 +82,7 @@
 	}
 	r.MustRegister(m.nearWaits, m.nearErrors, m.calls, m.storeCalls, m.unreadable, m.claims, m.commands, m.commandSeconds, m.commitSeconds, m.decisions, m.relays, m.ownWorkers, m.owner, m.configVersion)
 	m.evacuations = newEvacuationMetrics(r)
+	m.loop = newLoopMetrics(r)
 	if dropped != nil {
 		r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "log_dropped_lines_total", Help: "Log lines dropped under load.",
--- a/internal/daemon/owner_term.go
+++ b/internal/daemon/owner_term.go
@@ -48,7 +48,7 @@
 	instance *Instance
 	core     *scheduler.Core
 	epoch    int64
-	events   chan func(*scheduler.Core, time.Time)
+	events   chan event
 	done     chan struct{}      // closed when the term is over
 	end      context.CancelFunc // cancels ctx
 	ctx      context.Context
@@ -66,6 +66,7 @@
 	updatedOwner *pb.OwnerRecord // owner record without earlier owners, to be appended with the next batch
 	lastBatch    time.Time
 	evacuations  evacuationView
+	load         *loopLoad
 }
 
 // currentTerm returns the term of this instance, nil if it is not the owner.
@@ -91,9 +92,10 @@
 	defer cancel()
 	o := &ownerTerm{
 		instance: i, core: i.restoreCore(s, time.Now()), epoch: s.owner.GetEpoch(), ctx: ctx, end: cancel,
-		events: make(chan func(*scheduler.Core, time.Time), maxQueuedEvents), done: make(chan struct{}),
+		events: make(chan event, maxQueuedEvents), done: make(chan struct{}),
 		sequence: 1, intakeCursors: s.intakeEnd,
 	}
+	o.load = newLoopLoad(i.metrics.loop, o.core.PassCounts())
 	o.committedEnd.Store(s.end)
 	o.router = relay.NewRouter(ctx, relay.RouterOptions{
 		Token: o.epoch, Limits: i.relayLimits(), CPUMilli: i.cpuMilli(), Executor: i.executor, MayAct: o.mayAct, Deliver: o.deliver, Log: i.log,
@@ -169,7 +171,7 @@
 	}
 	updatedOwner := proto.CloneOf(self)
 	updatedOwner.Earlier = nil
-	o.post(func(c *scheduler.Core, now time.Time) {
+	o.post(workConfig, func(c *scheduler.Core, now time.Time) {
 		c.ConfirmNoEarlierOwner(now)
 		o.updatedOwner = updatedOwner
 	})
@@ -205,9 +207,9 @@
 }
 
 // post queues an event for the loop. The event is dropped if the term ends first.
-func (o *ownerTerm) post(f func(*scheduler.Core, time.Time)) {
+func (o *ownerTerm) post(kind workKind, f func(*scheduler.Core, time.Time)) {
 	select {
-	case o.events <- f:
+	case o.events <- event{kind, time.Now(), f}:
 	case <-o.ctx.Done():
 	}
 }
@@ -215,11 +217,11 @@
 // postAndWait runs f in the loop and waits until it has run. It returns
 // errNotOwner if the term ends first, and the context's error if ctx ends first.
 // f may still run in that case.
-func (o *ownerTerm) postAndWait(ctx context.Context, f func(*scheduler.Core)) error {
+func (o *ownerTerm) postAndWait(ctx context.Context, kind workKind, f func(*scheduler.Core)) error {
 	finished := make(chan struct{})
-	event := func(c *scheduler.Core, _ time.Time) { f(c); close(finished) }
+	apply := func(c *scheduler.Core, _ time.Time) { f(c); close(finished) }
 	select {
-	case o.events <- event:
+	case o.events <- event{kind, time.Now(), apply}:
 	case <-o.done:
 		return errNotOwner
 	case <-ctx.Done():
@@ -245,23 +247,26 @@
 	defer timer.Stop()
 	for {
 		o.sendOutput()
+		o.load.summarize(o.instance.log, core.PassCounts())
 		select {
 		case <-o.ctx.Done():
 			return
-		case f := <-o.events:
+		case e := <-o.events:
+			o.load.begin()
 			now := time.Now()
-			f(core, now)
+			o.apply(e, now)
 			o.handleQueued(now)
 			if wait := minTickInterval - now.Sub(lastTick); wait > 0 {
 				timer.Reset(wait)
 				break
 			}
 			lastTick = now
-			core.Tick(now)
+			o.tick(now)
 			timer.Reset(tickInterval)
 		case now := <-timer.C:
+			o.load.begin()
 			lastTick = now
-			core.Tick(now)
+			o.tick(now)
 			timer.Reset(tickInterval)
 		}
 		if core.Fenced() {
@@ -271,11 +276,28 @@
 	}
 }
 
+// apply applies an event to the core.
+func (o *ownerTerm) apply(e event, now time.Time) {
+	o.load.waited(now.Sub(e.queuedAt))
+	e.apply(o.core, now)
+	o.load.done(e.kind)
+}
+
+// tick advances the core's time, and runs a placement pass if one is due.
+func (o *ownerTerm) tick(now time.Time) {
+	o.core.Advance(now)
+	o.load.done(workTick)
+	if o.core.PassDue(now) {
+		o.core.Pass(now)
+		o.load.done(workPass)
+	}
+}
+
 // handleQueued applies the events that are already queued, so that one placement
 // pass covers them all.
 func (o *ownerTerm) handleQueued(now time.Time) {
 	for range len(o.events) {
-		(<-o.events)(o.core, now)
+		o.apply(<-o.events, now)
 	}
 }
 
@@ -283,23 +305,26 @@
 // commands and advice requests.
 func (o *ownerTerm) sendOutput() {
 	now := time.Now()
+	defer o.load.done(workOutput)
 	if !o.appending && now.Sub(o.lastBatch) >= minBatchInterval {
 		if batch := o.core.TakeBatch(now); !batch.Empty() {
 			o.appending, o.lastBatch = true, now
 			go o.commitBatch(batch, o.updatedOwner)
 			o.updatedOwner = nil
 		}
+		o.load.done(workRecords)
 	}
 	out := o.core.TakeOutput()
 	for _, entry := range out.LogEntries {
 		o.instance.logDecision(entry)
 	}
+	o.load.done(workLog)
 	o.evacuations.update(o.core, o.instance.metrics.evacuations, now)
 	o.router.Send(out.Commands)
 	for _, a := range out.AdviceRequests {
 		go func() {
 			result := o.instance.advice.RequestAdvice(o.ctx, a)
-			o.post(func(c *scheduler.Core, now time.Time) { c.AdviceDone(result, now) })
+			o.post(workResults, func(c *scheduler.Core, now time.Time) { c.AdviceDone(result, now) })
 		}()
 	}
 }
@@ -336,7 +361,7 @@
 	if len(b.ExpiredJobs) > 0 {
 		o.deleteIntake(b.ExpiredJobs)
 	}
-	o.post(func(c *scheduler.Core, now time.Time) {
+	o.post(workCommitted, func(c *scheduler.Core, now time.Time) {
 		o.appending = false
 		c.Committed(b, now)
 	})
--- a/internal/daemon/relay.go
+++ b/internal/daemon/relay.go
@@ -103,7 +103,7 @@
 
 // deliver passes results of commands to the core.
 func (o *ownerTerm) deliver(results []scheduler.CommandResult) {
-	o.post(func(c *scheduler.Core, now time.Time) {
+	o.post(workResults, func(c *scheduler.Core, now time.Time) {
 		for _, r := range results {
 			c.CommandDone(r, now)
 		}
--- a/internal/daemon/requests.go
+++ b/internal/daemon/requests.go
@@ -86,7 +86,7 @@
 func (i *Instance) postEvacuations() {
 	if o := i.currentTerm(); o != nil {
 		domains, _ := i.requests.snapshot()
-		o.post(func(core *scheduler.Core, now time.Time) { core.SetEvacuations(domains, now) })
+		o.post(workConfig, func(core *scheduler.Core, now time.Time) { core.SetEvacuations(domains, now) })
 	}
 }
 
@@ -94,6 +94,6 @@
 func (i *Instance) requestsRead(at time.Time) {
 	i.requests.read(at)
 	if o := i.currentTerm(); o != nil {
-		o.post(func(core *scheduler.Core, now time.Time) { core.RequestsRead(at, now) })
+		o.post(workConfig, func(core *scheduler.Core, now time.Time) { core.RequestsRead(at, now) })
 	}
 }
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -126,11 +126,11 @@
 		}
 		if len(r.Value) == 0 || err != nil {
 			delete(listed, r.Key)
-			o.post(func(c *scheduler.Core, now time.Time) { c.RemoveWorker(r.Key, now) })
+			o.post(workEntries, func(c *scheduler.Core, now time.Time) { c.RemoveWorker(r.Key, now) })
 			return
 		}
 		listed[r.Key] = true
-		o.post(func(c *scheduler.Core, now time.Time) { c.SetWorker(entry, now) })
+		o.post(workEntries, func(c *scheduler.Core, now time.Time) { c.SetWorker(entry, now) })
 	}
 	i.watch(ctx, platform.WorkerTopic, workerReadInterval, func(records []store.Record) {
 		o.router.ExpectWorkers(len(records))
@@ -145,6 +145,6 @@
 			}
 		}
 	}, apply, func(at time.Time) {
-		o.post(func(c *scheduler.Core, now time.Time) { c.EntriesRead(at, now) })
+		o.post(workEntries, func(c *scheduler.Core, now time.Time) { c.EntriesRead(at, now) })
 	})
 }
--- a/internal/scheduler/best.go
+++ b/internal/scheduler/best.go
@@ -5,6 +5,8 @@
 // best returns the worker with the lowest cost that can start a task, nil if there
 // is none.
 func (p *pass) best(t *task, candidates []*candidate, q *Queue) *candidate {
+	p.core.passCounts.Searches++
+	p.core.passCounts.Costed += int64(len(candidates))
 	var found *candidate
 	lowest := 0.0
 	for _, cand := range candidates {
@@ -53,6 +55,8 @@
 
 // compute computes the costs of all candidates.
 func (r *ranking) compute() {
+	r.pass.core.passCounts.Scans++
+	r.pass.core.passCounts.Costed += int64(len(r.candidates))
 	r.starved = r.task.step.starved(r.pass.now)
 	r.entries = r.entries[:0]
 	for n, cand := range r.candidates {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -158,6 +158,7 @@
 	crashTimes      []time.Time
 	restoredCrashes map[string]bool // addresses of workers in restored evidence
 	placements      placements      // see Backlog
+	passCounts      PassCounts
 	fenced          bool
 	out             Output
 	disabled        disabledRules
@@ -290,21 +291,40 @@
 // Tick advances time: it sends due holds, expires leases and runs a placement pass
 // if one is due.
 func (c *Core) Tick(now time.Time) {
+	c.Advance(now)
+	if c.PassDue(now) {
+		c.Pass(now)
+	}
+}
+
+// Advance is the part of Tick that sends due holds, expires leases and drops finished
+// jobs.
+func (c *Core) Advance(now time.Time) {
 	if !c.started || c.fenced {
 		return
 	}
 	c.tickWorkers(now)
 	c.tickAttempts(now)
-	if c.planDue && now.Sub(c.plannedAt) >= planPause || now.Sub(c.plannedAt) >= planInterval {
-		c.planDue = false
-		c.plannedAt = now
-		c.replaceStalled(now)
-		c.plan(now)
-	}
 	c.dropFinishedJobs(now)
 	c.summarize(now)
 }
 
+// PassDue reports whether a placement pass is due.
+func (c *Core) PassDue(now time.Time) bool {
+	if !c.started || c.fenced {
+		return false
+	}
+	return c.planDue && now.Sub(c.plannedAt) >= planPause || now.Sub(c.plannedAt) >= planInterval
+}
+
+// Pass is the part of Tick that runs a placement pass.
+func (c *Core) Pass(now time.Time) {
+	c.planDue = false
+	c.plannedAt = now
+	c.replaceStalled(now)
+	c.plan(now)
+}
+
 // planInterval is the longest time between two placement passes. The end of a
 // quarantine or of a retry delay makes a placement possible without any input.
 const planInterval = 100 * time.Millisecond
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -15,7 +15,9 @@
 	c.observeDemand(now)
 	c.contention.held, c.contention.keptMilli = 0, 0
 	pass := &pass{core: c, now: now, pools: make(map[string][]*candidate), unplaced: make(map[requirements]Resources)}
+	c.passCounts.Passes++
 	for _, r := range c.waitingSteps(now) {
+		c.passCounts.Steps++
 		pass.placeStep(r)
 		pass.noteWithheld(r.step)
 	}
@@ -107,6 +109,9 @@
 	if !found {
 		for _, w := range p.core.workerList {
 			if w.entry.Pool == name && w.usable(p.now) && !p.core.evacuated(w) {
+				if w.changed || w.kept == nil || p.now.Sub(w.keptAt) >= maxCandidateAge {
+					p.core.passCounts.Updated++
+				}
 				candidates = append(candidates, w.candidate(p.core.model, p.now))
 			}
 		}
@@ -136,6 +141,7 @@
 	}
 	required, cacheable := requirementsOf(s, q.Pool)
 	if unplaced, found := p.unplaced[required]; cacheable && found && unplaced.FitsIn(s.size) {
+		p.core.passCounts.NoRoom++
 		return
 	}
 	placed, complete := p.placeTasks(r, candidates, q)
@@ -176,6 +182,7 @@
 			best.update()
 			ranked.update(best)
 			placed++
+			p.core.passCounts.Placed++
 		case t.suspect():
 			if p.reserveForTrial(t, candidates, q) {
 				ranked.compute()
