--- /dev/null
+++ b/internal/scheduler/pass_work_test.go
@@ -0,0 +1,84 @@
+package scheduler
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"gooseberryreel/internal/pb"
+)
+
+// newCrowdedSite returns a full site: services, urgent jobs and fillers wait for room, in
+// proportion to the number of workers. Jobs go on arriving with arrive.
+func newCrowdedSite(workers int) (*simulation, *loadedSite) {
+	sim, jobs := newLoadedSite(workers)
+	count := func(n float64) int { return int(math.Round(n * jobs.scale)) }
+	for n := range count(80) {
+		spread := int32(0)
+		if n%2 == 0 {
+			spread = 2
+		}
+		sim.submit(&pb.Submission{Id: fmt.Sprintf("d%015x", n), Steps: []*pb.StepSpec{
+			{Tasks: 24, CpuMilli: int64(5200 + 40*n), MemoryMib: 13_000, Lasting: true, Image: fmt.Sprintf("s%d", n%16), LatencyTargetMs: 18, Spread: spread},
+		}})
+	}
+	for range count(80) {
+		jobs.submit(sim, 0)
+	}
+	for range count(300) {
+		jobs.submit(sim, 1)
+	}
+	for range 20 {
+		jobs.arrive(sim, 100*time.Millisecond)
+		sim.run(100 * time.Millisecond)
+	}
+	return sim, jobs
+}
+
+// workWhileCrowded returns what the passes visit during 3 s of a crowded site.
+func workWhileCrowded(workers int) PassCounts {
+	sim, jobs := newCrowdedSite(workers)
+	before := sim.core.PassCounts()
+	for range 30 {
+		jobs.arrive(sim, 100*time.Millisecond)
+		sim.run(100 * time.Millisecond)
+	}
+	return sim.core.PassCounts().Sub(before)
+}
+
+// Guards against passes whose work is the product of the waiting steps and the workers:
+// an owner of a large site falls behind while room is short, and urgent jobs wait for it.
+func TestWaitingStepsDoNotMultiplyPassWork(t *testing.T) {
+	const small, large = 275, 1100
+	few, many := workWhileCrowded(small), workWhileCrowded(large)
+	for workers, n := range map[int]PassCounts{small: few, large: many} {
+		t.Logf("%d workers: %+v", workers, n)
+		qt.Check(t, n.Steps > 20*n.Passes, qt.IsTrue, qt.Commentf("the site is not crowded"))
+		qt.Check(t, n.Costed < 2*n.Passes*int64(workers), qt.IsTrue,
+			qt.Commentf("a pass ranks %d of %d workers for %d waiting steps", n.Costed/n.Passes, workers, n.Steps/n.Passes))
+	}
+	growth := float64(many.Costed) / float64(many.Passes) * float64(few.Passes) / float64(few.Costed)
+	qt.Check(t, growth <= 1.25*large/small, qt.IsTrue, qt.Commentf("the work of a pass grew %.1f times with 4 times the workers", growth))
+}
+
+// BenchmarkCrowdedCore measures the processor time of the core for each simulated second
+// of a full site.
+func BenchmarkCrowdedCore(b *testing.B) {
+	for _, workers := range []int{275, 1100} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			for b.Loop() {
+				sim, jobs := newCrowdedSite(workers)
+				const seconds = 3
+				sim.coreTime = 0
+				for range seconds * 10 {
+					jobs.arrive(sim, 100*time.Millisecond)
+					sim.run(100 * time.Millisecond)
+				}
+				b.ReportMetric(sim.coreTime.Seconds()/seconds, "core-s/s")
+			}
+		})
+	}
+}
