scheduler: passes look only at workers that have changed for a step that found no room

Callers of a large site saw urgent jobs complete after their objective while the owner was late. Cause: a waiting step was ranked against all workers in every pass until it found room, and a step with starving tasks once more for each task that got a reservation, so that the work of a pass was the product of waiting steps and workers. A step now remembers the pass after which no worker had room; later passes rank only the workers that have changed since, and share one look at the free amounts among all steps that wait since the same pass. A task that avoids a worker takes the second place of the ranking instead of a scan, a ranking is computed when a task first needs it, and the workers to reserve are ordered once a step.

--- a/internal/scheduler/best.go
+++ b/internal/scheduler/best.go
@@ -7,6 +7,7 @@
 func (p *pass) best(t *task, candidates []*candidate, q *Queue) *candidate {
 	p.core.passCounts.Searches++
 	p.core.passCounts.Costed += int64(len(candidates))
+	p.prepare(t.step)
 	var found *candidate
 	lowest := 0.0
 	for _, cand := range candidates {
@@ -20,7 +21,12 @@
 // costIfFits returns the cost of a worker for a task, and false if it can't start
 // the task.
 func (p *pass) costIfFits(t *task, cand *candidate, q *Queue) (float64, bool) {
-	if cand.heldFor != nil && cand.heldForOther(t.step, p.core.expectedHere(t.step, cand.worker)) || !p.admits(cand, t) || !cand.fits(t, q, p.now) {
+	if !cand.hasRoom(t, q, p.now) {
+		return 0, false
+	}
+	if cand.reserved && !t.step.filler() || cand.heldFor != nil && cand.heldForOther(t.step, p.core.expectedHere(t.step, cand.worker)) || !p.admits(cand, t) {
+		// It may fit in the next pass although nothing changes on the worker.
+		cand.changedIn = p.number + 1
 		return 0, false
 	}
 	return p.cost(t, cand)
@@ -30,13 +36,17 @@
 // The tasks of a step differ only in the worker that they avoid and in whether they
 // are suspects, so a placement changes the cost of one worker, and a step of many
 // tasks needs no scan of all workers for each of them.
+//
+// A step that waits for room is ranked in many passes. Once no worker had room in a
+// pass, later passes look only at the workers on which something has changed since.
 type ranking struct {
 	pass       *pass
 	candidates []*candidate
 	queue      *Queue
 	task       *task             // stands for the tasks that avoid no worker and are no suspects
 	entries    []rankedCandidate // a heap
-	starved    bool              // of the step when the costs were computed
+	computed   bool
+	starved    bool // of the step when the costs were computed
 }
 
 // rankedCandidate is a worker with its cost for the step. Workers of equal cost keep
@@ -48,38 +58,63 @@
 }
 
 func (p *pass) newRanking(s *step, candidates []*candidate, q *Queue) *ranking {
-	r := &ranking{pass: p, candidates: candidates, queue: q, task: &task{step: s}}
-	r.compute()
-	return r
+	return &ranking{pass: p, candidates: candidates, queue: q, task: &task{step: s}}
 }
 
-// compute computes the costs of all candidates.
+// compute computes the costs of the candidates that may have room.
 func (r *ranking) compute() {
-	r.pass.core.passCounts.Scans++
-	r.pass.core.passCounts.Costed += int64(len(r.candidates))
-	r.starved = r.task.step.starved(r.pass.now)
+	p, s := r.pass, r.task.step
+	p.prepare(s)
+	r.computed, r.starved = true, p.costs.starved
 	r.entries = r.entries[:0]
-	for n, cand := range r.candidates {
-		cand.position = -1
-		if cost, ok := r.pass.costIfFits(r.task, cand, r.queue); ok {
-			cand.position = len(r.entries)
-			r.entries = append(r.entries, rankedCandidate{cand, cost, n})
+	since := p.noRoomSince(s, r.starved)
+	roomy := p.roomSince(roomKey{r.queue.Pool, since, s.filler()}, r.candidates)
+	if !s.size.FitsIn(roomy.most) {
+		return
+	}
+	p.core.passCounts.Scans++
+	for _, w := range roomy.workers {
+		if !s.size.FitsIn(w.free) {
+			continue
+		}
+		p.core.passCounts.Costed++
+		if cost, ok := p.costIfFits(r.task, w.candidate, r.queue); ok {
+			w.position = len(r.entries)
+			r.entries = append(r.entries, rankedCandidate{w.candidate, cost, w.order})
 		}
 	}
 	heap.Init(r)
 }
 
+// noteNoRoom notes that no worker has room for the step after this pass.
+func (r *ranking) noteNoRoom() {
+	if s := r.task.step; r.computed && len(r.entries) == 0 && r.queue.Advice == nil && s.advice == nil {
+		s.noRoom = noRoom{pass: r.pass.number, starved: r.starved, config: r.pass.core.config}
+	}
+}
+
 // bestFor returns the worker with the lowest cost for a task of the step, nil if
 // there is none.
 func (r *ranking) bestFor(t *task) *candidate {
-	switch {
-	case len(r.entries) == 0 && !t.suspect():
-		return nil
-	case t.avoid != "" || t.suspect():
+	if t.suspect() {
 		return r.pass.best(t, r.candidates, r.queue)
-	default:
-		return r.entries[0].candidate
 	}
+	if !r.computed {
+		r.compute()
+	}
+	if len(r.entries) == 0 {
+		return nil
+	}
+	first := 0
+	if r.entries[0].worker.id == t.avoid {
+		// The second lowest cost of a heap is that of one of the next two entries.
+		for n := 1; n < min(len(r.entries), 3); n++ {
+			if r.entries[n].cost < r.entries[0].cost+avoidCost && (first == 0 || r.Less(n, first)) {
+				first = n
+			}
+		}
+	}
+	return r.entries[first].candidate
 }
 
 // update recomputes the cost of a worker after a placement there. If the step was
@@ -87,10 +122,12 @@
 func (r *ranking) update(cand *candidate) {
 	n := cand.position
 	switch {
+	case !r.computed:
+		return
 	case r.starved:
 		r.compute()
 		return
-	case n < 0:
+	case n >= len(r.entries) || r.entries[n].candidate != cand:
 		return
 	}
 	cost, ok := r.pass.costIfFits(r.task, cand, r.queue)
@@ -128,6 +165,5 @@
 func (r *ranking) Pop() any {
 	last := r.entries[len(r.entries)-1]
 	r.entries = r.entries[:len(r.entries)-1]
-	last.position = -1
 	return last
 }
--- a/internal/scheduler/best_test.go
+++ b/internal/scheduler/best_test.go
@@ -27,7 +27,8 @@
 		}
 		core := sim.core
 		core.updateReady(sim.now)
-		p := &pass{core: core, now: sim.now.Add(time.Duration(rng.IntN(3000)) * time.Millisecond), pools: make(map[string][]*candidate), unplaced: make(map[requirements]Resources)}
+		core.passCounts.Passes++
+		p := &pass{core: core, number: core.passCounts.Passes, now: sim.now.Add(time.Duration(rng.IntN(3000)) * time.Millisecond), pools: make(map[string][]*candidate), unplaced: make(map[requirements]Resources)}
 		q := &sim.config.Queues[0]
 		candidates := p.pool(q.Pool)
 		for _, s := range core.ready {
@@ -67,7 +68,7 @@
 		jobs.arrive(sim, 100*time.Millisecond)
 		sim.run(100 * time.Millisecond)
 		for _, w := range sim.core.workerList {
-			kept := w.candidate(sim.core.model, sim.now)
+			kept := w.candidate(sim.core.model, sim.core.passCounts.Passes, sim.now)
 			fresh := &candidate{worker: w, model: sim.core.model}
 			fresh.update()
 			c.Assert(kept.free, qt.Equals, fresh.free)
--- a/internal/scheduler/disabled.go
+++ b/internal/scheduler/disabled.go
@@ -37,6 +37,7 @@
 	// nearWait, if not nil, replaces the decision to wait for room near the data.
 	nearWait     func(locality.Question) locality.Answer
 	ignoreCost   bool // urgent steps are ordered by standing and due time alone
+	rankAll      bool // each pass ranks all workers for each waiting step
 	noCopies     bool // stragglers of speculative steps get no copies
 	discardEarly bool // a worker discards the end of a task whose copy may still start
 	// knownSpeed, if not nil, replaces the learned speed of workers for copies.
--- a/internal/scheduler/feasibility.go
+++ b/internal/scheduler/feasibility.go
@@ -26,8 +26,15 @@
 	// start.
 	heldFor *step
 	heldIn  time.Duration
-	// position is the candidate's index in the current ranking, -1 if it is not in it.
+	// position is the candidate's index in the ranking that it was put into last.
 	position int
+
+	// afterShort is the free capacity once the worker's short tasks have ended.
+	afterShort Resources
+	// These are the numbers of the newest pass that included the worker, of the first
+	// one from which a task may fit that did not fit before, and of the newest one in
+	// which the load was summed up.
+	seenIn, changedIn, updatedIn int64
 }
 
 // predicted is the expected utilization of the services of one image on a worker.
@@ -44,23 +51,35 @@
 // candidate returns the worker's candidate for a pass. It is kept over passes while
 // nothing changes on the worker: there are many passes a second, and on a large site
 // each of them concerns few workers.
-func (w *worker) candidate(model *interference.LatencyModel, now time.Time) *candidate {
+func (w *worker) candidate(model *interference.LatencyModel, pass int64, now time.Time) *candidate {
 	if w.kept == nil {
 		w.kept = &candidate{worker: w, model: model}
 	}
+	if w.changed || w.kept.seenIn < pass-1 {
+		w.kept.changedIn = pass
+	}
 	if w.changed || now.Sub(w.keptAt) >= maxCandidateAge {
 		w.keptAt = now
+		w.kept.updatedIn = pass
 		w.kept.update()
 	}
+	w.kept.seenIn = pass
 	w.kept.reserved, w.kept.reservedForTrial, w.kept.heldFor = false, false, nil
 	return w.kept
 }
 
+// changedSince reports whether a task of a step that did not fit on the worker in a pass
+// may fit there now. Fillers also depend on the load, which follows the model.
+func (cand *candidate) changedSince(pass int64, filler bool) bool {
+	return cand.changedIn > pass || filler && cand.updatedIn > pass
+}
+
 // update recomputes the candidate after a placement or another change on its worker.
 func (cand *candidate) update() {
 	cand.worker.changed = false
 	cand.free = cand.worker.free()
 	cand.load = loadOf(cand.worker, cand.load.fillers)
+	cand.afterShort = cand.free.Add(cand.load.short)
 	cand.services, cand.overTarget = cand.services[:0], false
 	if cand.worker.services == 0 {
 		return
@@ -121,18 +140,6 @@
 	return q.Advice == nil || s.hasTicket(cand.worker, now)
 }
 
-// freeWithoutShortTasks returns the free resources of the worker once its short
-// tasks have ended.
-func (cand *candidate) freeWithoutShortTasks() Resources {
-	free := cand.free
-	for _, a := range cand.worker.list {
-		if s := a.step(); !s.longRunning() && !s.filler() {
-			free = free.Add(s.size)
-		}
-	}
-	return free
-}
-
 // feasible reports whether a task may run on the worker once its resources are
 // free: label, ticket and spread limit allow it.
 func (cand *candidate) feasible(t *task, q *Queue, now time.Time) bool {
@@ -140,14 +147,17 @@
 	return cand.allows(t, q, now) && (spread <= 0 || cand.attemptsOfStep(t.step) < spread)
 }
 
-// fits reports whether a task may be started on the worker now. Fillers need no
-// free CPU.
+// fits reports whether a task may be started on the worker now.
 func (cand *candidate) fits(t *task, q *Queue, now time.Time) bool {
+	return (t.step.filler() || !cand.reserved) && cand.hasRoom(t, q, now)
+}
+
+// hasRoom reports whether the worker has the free capacity for a task and may run it.
+// Fillers need no free CPU.
+func (cand *candidate) hasRoom(t *task, q *Queue, now time.Time) bool {
 	request := t.step.size
 	if t.step.filler() {
 		request.CPUMilli = 0
-	} else if cand.reserved {
-		return false
 	}
 	return request.FitsIn(cand.free) && cand.feasible(t, q, now)
 }
--- a/internal/scheduler/interference.go
+++ b/internal/scheduler/interference.go
@@ -34,6 +34,7 @@
 type load struct {
 	use     int64                // expected CPU use in thousandths of a core
 	fillers []interference.Share // CPU share of each image at full speed
+	short   Resources            // requested by short tasks apart from fillers
 }
 
 // loadOf returns the load of a worker. It reuses the memory of fillers.
@@ -49,6 +50,7 @@
 			l.use += int64(float64(s.size.CPUMilli) * longRunningUse)
 		default:
 			l.use += s.size.CPUMilli
+			l.short = l.short.Add(s.size)
 		}
 	}
 	return l
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -46,6 +46,7 @@
 	schedule   schedule
 	advice     *advice
 	near       nearStep
+	noRoom     noRoom
 }
 
 // task is one task of a step.
--- a/internal/scheduler/pass_work_test.go
+++ b/internal/scheduler/pass_work_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -82,3 +83,59 @@
 		})
 	}
 }
+
+// Guards against a step that goes on waiting although a worker has room for it again: one
+// that a pass skips must be one that ranking all workers would not place either. Workers
+// restart, leave, drain, stay silent and change their racks meanwhile.
+func TestSkippedWorkersHaveNoRoom(t *testing.T) {
+	for seed := range uint64(8) {
+		skipping, ranking := newCrowdedSiteOf(seed, 40), newCrowdedSiteOf(seed, 40)
+		ranking.sim.core.disabled.rankAll = true
+		for n := range 80 {
+			for _, s := range []*crowdedSite{skipping, ranking} {
+				s.jobs.arrive(s.sim, 50*time.Millisecond)
+				s.disturb()
+				s.sim.run(50 * time.Millisecond)
+			}
+			qt.Assert(t, fmt.Sprint(skipping.sim.runningOn), qt.Equals, fmt.Sprint(ranking.sim.runningOn), qt.Commentf("seed %d, %d ms", seed, 50*(n+1)))
+		}
+		a, b := skipping.sim.core.PassCounts(), ranking.sim.core.PassCounts()
+		qt.Check(t, a.Scans < b.Scans, qt.IsTrue, qt.Commentf("seed %d: nothing was skipped", seed))
+	}
+}
+
+// crowdedSite is a crowded site with random disturbances.
+type crowdedSite struct {
+	sim  *simulation
+	jobs *loadedSite
+	rng  *rand.Rand
+}
+
+func newCrowdedSiteOf(seed uint64, workers int) *crowdedSite {
+	sim, jobs := newCrowdedSite(workers)
+	return &crowdedSite{sim, jobs, rand.New(rand.NewPCG(seed, 11))}
+}
+
+// disturb changes something about a random worker.
+func (s *crowdedSite) disturb() {
+	sw := s.sim.workers[s.rng.IntN(len(s.sim.workers))]
+	entry := sw.entry()
+	switch s.rng.IntN(6) {
+	case 0:
+		sw.restart()
+	case 1:
+		sw.unreachable = !sw.unreachable
+	case 2:
+		entry.Draining = s.rng.IntN(2) == 0
+		s.sim.core.SetWorker(entry, s.sim.now)
+	case 3:
+		entry.Rack, entry.Labels = "other", []string{"a", "other"}
+		s.sim.core.SetWorker(entry, s.sim.now)
+	case 4:
+		entry.Capacity.CPUMilli = s.rng.Int64N(64_000)
+		s.sim.core.SetWorker(entry, s.sim.now)
+	default:
+		s.sim.core.RemoveWorker(sw.id, s.sim.now)
+		s.sim.core.SetWorker(entry, s.sim.now)
+	}
+}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -14,8 +14,8 @@
 	}
 	c.observeDemand(now)
 	c.contention.held, c.contention.keptMilli = 0, 0
-	pass := &pass{core: c, now: now, pools: make(map[string][]*candidate), unplaced: make(map[requirements]Resources)}
 	c.passCounts.Passes++
+	pass := &pass{core: c, number: c.passCounts.Passes, now: now, pools: make(map[string][]*candidate), unplaced: make(map[requirements]Resources)}
 	for _, r := range c.waitingSteps(now) {
 		c.passCounts.Steps++
 		pass.placeStep(r)
@@ -71,9 +71,12 @@
 
 // pass is the state of one placement pass.
 type pass struct {
-	core  *Core
-	now   time.Time
-	pools map[string][]*candidate
+	core   *Core
+	number int64
+	now    time.Time
+	costs  stepCosts
+	roomy  map[roomKey]*room
+	pools  map[string][]*candidate
 	// unplaced holds, for each set of requirements, the last request that no
 	// worker had enough free capacity for.
 	unplaced map[requirements]Resources
@@ -109,10 +112,11 @@
 	if !found {
 		for _, w := range p.core.workerList {
 			if w.entry.Pool == name && w.usable(p.now) && !p.core.evacuated(w) {
-				if w.changed || w.kept == nil || p.now.Sub(w.keptAt) >= maxCandidateAge {
+				cand := w.candidate(p.core.model, p.number, p.now)
+				if cand.updatedIn == p.number {
 					p.core.passCounts.Updated++
 				}
-				candidates = append(candidates, w.candidate(p.core.model, p.now))
+				candidates = append(candidates, cand)
 			}
 		}
 		p.pools[name] = candidates
@@ -164,6 +168,8 @@
 // the last one. Workers are reserved for starving and suspect tasks that don't fit.
 func (p *pass) placeTasks(r rank, candidates []*candidate, q *Queue) (placed int, complete bool) {
 	ranked := p.newRanking(r.step, candidates, q)
+	defer ranked.noteNoRoom()
+	var reservable *reservable
 	near := p.nearPlacement(r.step, candidates, q)
 	defer near.log()
 	for _, t := range r.step.tasks {
@@ -184,38 +190,17 @@
 			placed++
 			p.core.passCounts.Placed++
 		case t.suspect():
-			if p.reserveForTrial(t, candidates, q) {
-				ranked.compute()
+			if kept := p.reserveForTrial(t, candidates, q); kept != nil {
+				ranked.update(kept)
 			}
 		case r.starving:
-			p.reserve(t, candidates, q)
-			ranked.compute()
+			if reservable == nil {
+				reservable = p.newReservable(t, candidates, q)
+			}
+			p.reserve(reservable)
 		default:
 			return placed, false // the other tasks of the step request the same resources
 		}
 	}
 	return placed, true
 }
-
-// maxReserved bounds the share of a pool's workers that are reserved for starving
-// tasks.
-const maxReserved = 0.1
-
-// reserve reserves a worker for a starving task, the one with the most free
-// capacity among those that could run it once their short tasks have ended. Apart
-// from fillers and gangs, nothing is placed there in the rest of the pass.
-func (p *pass) reserve(t *task, candidates []*candidate, q *Queue) {
-	if float64(p.reserved) >= maxReserved*float64(len(candidates)) {
-		return
-	}
-	var most *candidate
-	for _, cand := range candidates {
-		if !cand.reserved && t.step.size.FitsIn(cand.freeWithoutShortTasks()) && cand.feasible(t, q, p.now) && (most == nil || freeShare(cand) > freeShare(most)) {
-			most = cand
-		}
-	}
-	if most != nil {
-		most.reserved = true
-		p.reserved++
-	}
-}
--- a/internal/scheduler/ranking.go
+++ b/internal/scheduler/ranking.go
@@ -113,8 +113,8 @@
 		return 0, false
 	}
 	rise, ok := cand.maxRise(s.image, share(s.size.CPUMilli, cpu))
-	cost := use + riseCost*rise*(1+marginCost*p.core.margin(s, p.now))
-	if !ok && s.starved(p.now) {
+	cost := use + riseCost*rise*(1+marginCost*p.costs.margin)
+	if !ok && p.costs.starved {
 		// The task starts where it slows services down least and is throttled there.
 		return cost + starvedCost, true
 	}
--- a/internal/scheduler/trial.go
+++ b/internal/scheduler/trial.go
@@ -58,11 +58,11 @@
 }
 
 // reserveForTrial keeps a worker free of other starts for the rest of the pass, so
-// that it will be settled when a suspect task is placed again. It reports whether
-// there is such a worker.
-func (p *pass) reserveForTrial(t *task, candidates []*candidate, q *Queue) bool {
+// that it will be settled when a suspect task is placed again. It returns nil if there
+// is no such worker.
+func (p *pass) reserveForTrial(t *task, candidates []*candidate, q *Queue) *candidate {
 	if float64(p.reserved) >= max(maxReserved*float64(len(candidates)), 1) {
-		return false
+		return nil
 	}
 	var longest *candidate
 	for _, cand := range candidates {
@@ -73,10 +73,9 @@
 			longest = cand
 		}
 	}
-	if longest == nil {
-		return false
+	if longest != nil {
+		longest.reservedForTrial = true
+		p.reserved++
 	}
-	longest.reservedForTrial = true
-	p.reserved++
-	return true
+	return longest
 }
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -133,6 +133,7 @@
 	w := c.worker(e.ID)
 	defer c.noteCold(w, e.ColdFor, now)
 	if w.listed && w.entry.Address == e.Address && w.entry.Draining == e.Draining && w.entry.Capacity == e.Capacity && w.entry.Incarnation == e.Incarnation {
+		w.changed = w.changed || w.entry.Pool != e.Pool || w.entry.Rack != e.Rack || !slices.Equal(w.entry.Labels, e.Labels)
 		w.entry = e
 		return
 	}
