--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -118,11 +118,17 @@
 // ends.
 func (i *Instance) watchWorkers(ctx context.Context, o *ownerTerm) {
 	listed := make(map[string]bool)
+	unreadable := make(map[string]bool) // logged once, since entries are written every second
 	apply := func(r store.Record) {
 		entry, err := platform.DecodeWorker(r.Key, r.Value)
 		if len(r.Value) > 0 && err != nil {
 			i.metrics.unreadable.WithLabelValues(platform.WorkerTopic.Topic).Inc()
-			i.log.WithField("event", "worker entry unreadable").WithField("worker", r.Key).WithError(err).Warn("store")
+			if !unreadable[r.Key] {
+				unreadable[r.Key] = true
+				i.log.WithField("event", "worker entry unreadable").WithField("worker", r.Key).WithError(err).Warn("store")
+			}
+		} else {
+			delete(unreadable, r.Key)
 		}
 		if len(r.Value) == 0 || err != nil {
 			delete(listed, r.Key)
@@ -133,7 +139,6 @@
 		o.post(workEntries, func(c *scheduler.Core, now time.Time) { c.SetWorker(entry, now) })
 	}
 	i.watch(ctx, platform.WorkerTopic, workerReadInterval, func(records []store.Record) {
-		o.router.ExpectWorkers(len(records))
 		present := make(map[string]bool, len(records))
 		for _, r := range records {
 			present[r.Key] = true
@@ -144,6 +149,7 @@
 				apply(store.Record{Key: id})
 			}
 		}
+		o.router.ExpectWorkers(len(listed))
 	}, apply, func(at time.Time) {
 		o.post(workEntries, func(c *scheduler.Core, now time.Time) { c.EntriesRead(at, now) })
 	})
