remote: a row that can't be read leaves the other rows of the instance list their effect

Rows are now decoded one by one. The ends of rows are found without the library's decoder, which rejects the whole body at a nesting of 10,000. Rows whose address is no IP and port, or whose amounts are out of range or would overflow sums, are left out and counted by list_unreadable_rows; the first reason is an event.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -100,6 +100,8 @@
 	// configMissing reports that the whole configuration stream was read and
 	// that no snapshot covers the records trimmed from it.
 	configMissing bool
+	// unreadableRows is the number of rows that the newest instance list left out.
+	unreadableRows int
 	// readsFailingSince is when reads of the log began to fail, zero while they
 	// succeed.
 	readsFailingSince time.Time
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -9,7 +9,7 @@
 	configFetches, reportFailures                   prometheus.Counter
 	droppedRecords, configRecords                   *prometheus.CounterVec
 	exchanges, handOvers                            *prometheus.CounterVec
-	owned, acting, configVersion                    prometheus.Gauge
+	owned, acting, configVersion, listUnreadable    prometheus.Gauge
 	snapshotMissing                                 *prometheus.GaugeVec
 }
 
@@ -49,6 +49,7 @@
 		handOvers:       vector("partition_hand_overs_total", "Hand-overs of a partition's state to its next owner.", "result"),
 		owned:           gauge("partitions_owned", "Partitions that this instance owns."),
 		acting:          gauge("partitions_acting", "Partitions in which this instance may start new work."),
+		listUnreadable:  gauge("list_unreadable_rows", "Rows of the newest instance list that are left out since they can't be read."),
 		configVersion:   gauge("config_version_offset", "Offset of the newest accepted configuration record."),
 	}
 }
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -190,7 +191,16 @@
 		if err != nil {
 			i.metrics.listFailures.Inc()
 		} else {
+			i.metrics.listUnreadable.Set(float64(len(listing.Unreadable)))
 			i.Post(func(now time.Time) {
+				if unreadable := len(listing.Unreadable); unreadable != i.state.unreadableRows {
+					i.state.unreadableRows = unreadable
+					detail := "all rows of the instance list can be read"
+					if unreadable > 0 {
+						detail = fmt.Sprintf("%d rows of the instance list are left out, the first: %v", unreadable, listing.Unreadable[0])
+					}
+					i.recordEvent("list_rows_unreadable", detail)
+				}
 				i.state.members.ApplyListing(listing)
 				i.state.core.ApplyListing(now, i.state.members.ListedNames())
 			})
--- a/internal/remote/call.go
+++ b/internal/remote/call.go
@@ -124,6 +124,10 @@
 	if out == nil {
 		return nil
 	}
+	if raw, ok := out.(*json.RawMessage); ok {
+		*raw = body // the caller decodes it
+		return nil
+	}
 	return errors.Wrap(json.Unmarshal(body, out), "decode response")
 }
 
--- a/internal/remote/list.go
+++ b/internal/remote/list.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 
@@ -35,12 +38,12 @@
 	const step = "read instance list"
 	cached, etag := l.cached()
 	cond := &conditionalGet{etag: etag}
-	var response wire.Listing
+	var response json.RawMessage
 	err := l.client.doConditional(ctx, step, http.MethodGet, "/v1/instances", 0, nil, &response, cond)
 	if errors.Is(err, errNotModified) {
 		cached.AsOf, err = parseAsOf(cond.header)
 	} else if err == nil {
-		cached, err = listingFrom(response)
+		cached, err = DecodeListing(response)
 	} else {
 		return Listing{}, err
 	}
@@ -74,39 +77,66 @@
 	return time.UnixMilli(ms), nil
 }
 
-// listingFrom converts a listing. It returns an error if any row is invalid,
-// since instances of omitted rows would look gone.
-func listingFrom(response wire.Listing) (Listing, error) {
-	if response.AsOfMS <= 0 {
+// DecodeListing decodes a listing. A row of another writer may have any content: one that
+// can't be read, is out of range or repeats a name is left out, and the others hold.
+func DecodeListing(data []byte) (Listing, error) {
+	asOfMS, rows, err := wire.DecodeRows(data)
+	if err != nil {
+		return Listing{}, err
+	}
+	if asOfMS <= 0 {
 		return Listing{}, errors.New("response has no as_of_ms")
 	}
-	listing := Listing{AsOf: time.UnixMilli(response.AsOfMS)}
-	seen := make(map[string]bool, len(response.Instances))
-	for _, row := range response.Instances {
-		if row.Name == "" || seen[row.Name] {
-			return Listing{}, errors.Errorf("response has an empty or duplicate instance name %.100q", row.Name)
-		}
-		seen[row.Name] = true
+	listing := Listing{AsOf: time.UnixMilli(asOfMS)}
+	seen := make(map[string]bool, len(rows))
+	for n, row := range rows {
 		instance, err := instanceFrom(row)
+		if err == nil && seen[instance.Name] {
+			err = errors.Errorf("instance %.100q is listed twice", instance.Name)
+		}
 		if err != nil {
-			return Listing{}, err
+			listing.Unreadable = append(listing.Unreadable, errors.Wrapf(err, "row %d", n))
+			continue
 		}
+		seen[instance.Name] = true
 		listing.Instances = append(listing.Instances, instance)
 	}
 	return listing, nil
 }
 
-func instanceFrom(row wire.Instance) (Instance, error) {
+// maxAmount bounds the amounts of a row, so that sums over a site don't overflow.
+const maxAmount = 1 << 40
+
+// CheckAmounts returns an error if a resource or limit of a row is out of range.
+func CheckAmounts(row wire.Instance) error {
+	for _, amount := range []int64{int64(row.Slots), int64(row.Connections), row.CPUMilli, row.MemoryMiB, row.Accelerators} {
+		if amount < 0 || amount > maxAmount {
+			return errors.Errorf("instance %.100q has the resource or limit %d, want 0 to %d", row.Name, amount, int64(maxAmount))
+		}
+	}
+	return nil
+}
+
+func instanceFrom(row wire.Row) (Instance, error) {
+	if row.Err != nil {
+		return Instance{}, row.Err
+	}
+	if row.Name == "" || !utf8.ValidString(row.Name) {
+		return Instance{}, errors.Errorf("instance name %.100q is empty or no text", row.Name)
+	}
 	kind := Kind(row.Kind)
 	if kind != KindEntry && kind != KindWorker && kind != KindTarget {
-		return Instance{}, errors.Errorf("instance %q has unknown kind %.100q", row.Name, row.Kind)
+		return Instance{}, errors.Errorf("instance %.100q has unknown kind %.100q", row.Name, row.Kind)
 	}
 	state := State(row.State)
 	if state != StateLive && state != StateLeaving {
-		return Instance{}, errors.Errorf("instance %q has unknown state %.100q", row.Name, row.State)
+		return Instance{}, errors.Errorf("instance %.100q has unknown state %.100q", row.Name, row.State)
+	}
+	if address, err := netip.ParseAddrPort(row.Address); err != nil || address.Port() == 0 {
+		return Instance{}, errors.Errorf("instance %.100q has address %.100q, want IP:PORT", row.Name, row.Address)
 	}
-	if row.Slots < 0 || row.Connections < 0 || row.CPUMilli < 0 || row.MemoryMiB < 0 || row.Accelerators < 0 {
-		return Instance{}, errors.Errorf("instance %q has a negative resource or limit", row.Name)
+	if err := CheckAmounts(row.Instance); err != nil {
+		return Instance{}, err
 	}
 	return Instance{
 		Name:        row.Name,
--- a/internal/remote/platform.go
+++ b/internal/remote/platform.go
@@ -83,6 +83,8 @@
 type Listing struct {
 	AsOf      time.Time
 	Instances []Instance
+	// Unreadable holds the reasons why rows were left out, see DecodeListing.
+	Unreadable []error
 }
 
 // InstanceList reads the platform's instance list.
