daemon: a late owner places urgent work first, and passes leave time for other work

The loop had no bound and no order of importance when it was late: passes followed each other every 15 ms whatever they cost, best-effort work was ranked in each of them, and each decision about an attempt was logged. Now the loop does other work for twice as long as a pass took, up to 100 ms.

--- a/internal/daemon/logging.go
+++ b/internal/daemon/logging.go
@@ -29,10 +29,16 @@
 	entry.Info("call")
 }
 
+// routineDecisions are the events of the core about single attempts and about speeds. They
+// are not logged while the owner is late, only counted.
+var routineDecisions = map[string]bool{
+	"step placed": true, "attempt ended": true, "filler slowed": true, "worker slow": true, "worker speed normal": true,
+	"copy started": true, "original won": true, "copy won": true, "copy or original ended": true,
+}
+
 // logDecision logs a log entry of the core, whose fields are alternating names and
 // values.
 func (i *Instance) logDecision(entry scheduler.LogEntry) {
-	i.metrics.observeDecision(entry)
 	fields := logrus.Fields{"event": entry.Event}
 	if entry.RequestID != "" {
 		fields["request"] = entry.RequestID
--- a/internal/daemon/owner_load.go
+++ b/internal/daemon/owner_load.go
@@ -47,6 +47,17 @@
 // deadline.
 var waitBuckets = []float64{.001, .0025, .005, .01, .025, .05, .1, .25, .5, 1, 2.5}
 
+const (
+	// lateWait is the wait of an event from which the loop counts as late, and lateTime
+	// how long it then does.
+	lateWait = 50 * time.Millisecond
+	lateTime = 500 * time.Millisecond
+	// passRest is how long the loop does other work after a placement pass, in multiples
+	// of the duration of the pass, and maxPassRest the limit of that.
+	passRest    = 2
+	maxPassRest = 100 * time.Millisecond
+)
+
 // loopMetrics are the metrics of the owner's loop.
 type loopMetrics struct {
 	work      *prometheus.CounterVec
@@ -54,6 +65,7 @@
 	oldest    prometheus.Gauge
 	passes    *prometheus.CounterVec
 	busyShare prometheus.Gauge
+	late      prometheus.Counter
 }
 
 func newLoopMetrics(r prometheus.Registerer) *loopMetrics {
@@ -70,11 +82,14 @@
 		busyShare: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "owner_loop_busy_ratio", Help: "Part of the newest second that the owner's loop was at work.",
 		}),
+		late: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "owner_late_seconds_total", Help: "Time for which the owner's loop counted as late, so that best-effort work waited longer and routine decisions were not logged.",
+		}),
 		passes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "owner_passes_total", Help: "Placement passes, and what they visited, by kind.",
 		}, []string{"count"}),
 	}
-	r.MustRegister(m.work, m.wait, m.oldest, m.passes, m.busyShare)
+	r.MustRegister(m.work, m.wait, m.oldest, m.passes, m.busyShare, m.late)
 	return m
 }
 
@@ -86,7 +101,13 @@
 	events  int
 	longest time.Duration // wait of an event
 	since   time.Time     // of the summary in progress
-	counts  scheduler.PassCounts
+	// lateUntil is until when the loop counts as late, and lateFor for how long it did
+	// since the summary before. notLogged counts the entries that were not logged.
+	lateUntil  time.Time
+	lateFor    time.Duration
+	notLogged  int
+	nextPassAt time.Time
+	counts     scheduler.PassCounts
 }
 
 func newLoopLoad(m *loopMetrics, counts scheduler.PassCounts) *loopLoad {
@@ -105,12 +126,31 @@
 }
 
 // waited counts an event that waited for the loop.
-func (l *loopLoad) waited(d time.Duration) {
+func (l *loopLoad) waited(d time.Duration, now time.Time) {
+	if d > lateWait {
+		until := now.Add(lateTime)
+		from := l.lateUntil
+		if from.Before(now) {
+			from = now
+		}
+		l.lateFor += until.Sub(from)
+		l.lateUntil = until
+	}
 	l.events++
 	l.longest = max(l.longest, d)
 	l.metrics.wait.Observe(d.Seconds())
 }
 
+// late reports whether events have waited for long recently.
+func (l *loopLoad) late(now time.Time) bool { return now.Before(l.lateUntil) }
+
+// passDone counts a placement pass that began at a time. It leaves the loop to other work
+// for longer than the pass took, whatever the size of the site.
+func (l *loopLoad) passDone(began time.Time) {
+	l.done(workPass)
+	l.nextPassAt = l.mark.Add(min(passRest*l.mark.Sub(began), maxPassRest))
+}
+
 // summarize exports the work since the previous summary, and logs it, once a second.
 func (l *loopLoad) summarize(log *logrus.Entry, counts scheduler.PassCounts) {
 	elapsed := l.mark.Sub(l.since)
@@ -127,6 +167,10 @@
 		}
 	}
 	fields["busy_ms"] = busy.Milliseconds()
+	if l.lateFor > 0 {
+		fields["late_ms"], fields["not_logged"] = l.lateFor.Milliseconds(), l.notLogged
+		l.metrics.late.Add(l.lateFor.Seconds())
+	}
 	l.metrics.oldest.Set(l.longest.Seconds())
 	l.metrics.busyShare.Set(busy.Seconds() / elapsed.Seconds())
 	delta := counts.Sub(l.counts)
@@ -136,4 +180,5 @@
 	}
 	log.WithFields(fields).Info("decision")
 	l.since, l.counts, l.events, l.longest, l.spent = l.mark, counts, 0, 0, [workKinds]time.Duration{}
+	l.lateFor, l.notLogged = 0, 0
 }
--- a/internal/daemon/owner_term.go
+++ b/internal/daemon/owner_term.go
@@ -287,7 +287,7 @@
 
 // apply applies an event to the core.
 func (o *ownerTerm) apply(e event, now time.Time) {
-	o.load.waited(now.Sub(e.queuedAt))
+	o.load.waited(now.Sub(e.queuedAt), now)
 	e.apply(o.core, now)
 	o.load.done(e.kind)
 }
@@ -296,9 +296,11 @@
 func (o *ownerTerm) tick(now time.Time) {
 	o.core.Advance(now)
 	o.load.done(workTick)
-	if o.core.PassDue(now) {
+	if o.core.PassDue(now) && !now.Before(o.load.nextPassAt) {
+		began := o.load.mark
+		o.core.SetLate(o.load.late(now))
 		o.core.Pass(now)
-		o.load.done(workPass)
+		o.load.passDone(began)
 	}
 }
 
@@ -324,7 +326,13 @@
 		o.load.done(workRecords)
 	}
 	out := o.core.TakeOutput()
+	late := o.load.late(now)
 	for _, entry := range out.LogEntries {
+		o.instance.metrics.observeDecision(entry)
+		if late && routineDecisions[entry.Event] {
+			o.load.notLogged++
+			continue
+		}
 		o.instance.logDecision(entry)
 	}
 	o.load.done(workLog)
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -147,6 +147,8 @@
 	// that was put into a batch.
 	modelRecordedAt time.Time
 	modelVersion    int64
+	late            bool      // see SetLate
+	bestEffortAt    time.Time // newest pass that placed best-effort work
 	planDue         bool
 	plannedAt       time.Time // newest placement pass
 	summarizedAt    time.Time
@@ -318,6 +320,11 @@
 	return c.planDue && now.Sub(c.plannedAt) >= planPause || now.Sub(c.plannedAt) >= planInterval
 }
 
+// SetLate tells the core whether its caller is late with its inputs. While it is,
+// best-effort work is placed every planInterval only, so that the passes between are
+// shorter and urgent work starts sooner.
+func (c *Core) SetLate(late bool) { c.late = late }
+
 // Pass is the part of Tick that runs a placement pass.
 func (c *Core) Pass(now time.Time) {
 	c.planDue = false
--- a/internal/scheduler/pass_work_test.go
+++ b/internal/scheduler/pass_work_test.go
@@ -106,6 +106,41 @@
 	}
 }
 
+// Guards against an owner that places best-effort work as often as urgent work while it is
+// late, and against best-effort work that then never starts.
+func TestLateOwnerPlacesUrgentWorkFirst(t *testing.T) {
+	sim, _ := newLoadedSite(40)
+	sim.core.SetLate(true)
+	started := make(map[string]time.Duration)
+	for n := range 20 {
+		urgent := &pb.Submission{Id: fmt.Sprintf("e%015x", n), Steps: []*pb.StepSpec{{Tasks: 1, CpuMilli: 100, MemoryMib: 10, EstimateMs: 500}}}
+		filler := &pb.Submission{Id: fmt.Sprintf("f%015x", n), Priority: 2, Steps: []*pb.StepSpec{{Tasks: 1, CpuMilli: 100, MemoryMib: 10, EstimateMs: 500, Filler: true, Image: "f0"}}}
+		submitted := sim.now
+		sim.submit(urgent)
+		sim.submit(filler)
+		for range 13 {
+			sim.run(simStep)
+			for _, sub := range []*pb.Submission{urgent, filler} {
+				if _, seen := started[sub.GetId()]; !seen && sim.core.jobs[sub.GetId()].started {
+					started[sub.GetId()] = sim.now.Sub(submitted)
+				}
+			}
+		}
+	}
+	qt.Assert(t, started, qt.HasLen, 40)
+	var urgentWait, fillerWait time.Duration
+	for id, wait := range started {
+		if id[0] == 'e' {
+			urgentWait += wait
+			qt.Check(t, wait <= planPause+2*simStep, qt.IsTrue, qt.Commentf("%s waited for %v", id, wait))
+		} else {
+			fillerWait += wait
+			qt.Check(t, wait <= planInterval+planPause+2*simStep, qt.IsTrue, qt.Commentf("%s waited for %v", id, wait))
+		}
+	}
+	qt.Check(t, fillerWait > 2*urgentWait, qt.IsTrue, qt.Commentf("urgent %v, best effort %v", urgentWait, fillerWait))
+}
+
 // crowdedSite is a crowded site with random disturbances.
 type crowdedSite struct {
 	sim  *simulation
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -17,12 +17,16 @@
 	c.passCounts.Passes++
 	c.memory.used = 0
 	pass := &pass{core: c, number: c.passCounts.Passes, now: now, pools: make(map[string][]*candidate), unplaced: make(map[requirements]unplaced)}
-	for _, r := range c.waitingSteps(now) {
+	bestEffort := !c.late || now.Sub(c.bestEffortAt) >= planInterval
+	for _, r := range c.waitingSteps(bestEffort, now) {
 		c.passCounts.Steps++
 		pass.placeStep(r)
 		pass.noteWithheld(r.step)
 	}
-	pass.placeCopies()
+	if bestEffort {
+		c.bestEffortAt = now
+		pass.placeCopies()
+	}
 }
 
 // updateReady moves the blocked steps that may start now to the ready ones, and
@@ -45,11 +49,11 @@
 }
 
 // waitingSteps returns the ready steps with tasks to place, in the order in which
-// they are placed.
-func (c *Core) waitingSteps(now time.Time) []rank {
+// they are placed, without fillers unless bestEffort is set.
+func (c *Core) waitingSteps(bestEffort bool, now time.Time) []rank {
 	list := c.memory.ranks[:0]
 	for _, s := range c.ready {
-		if s.waiting > 0 {
+		if s.waiting > 0 && (bestEffort || !s.filler()) {
 			list = c.appendRanks(list, s, now)
 		}
 	}
