--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -75,40 +75,6 @@
 	NearWait  *NearWait
 }
 
-// Batch is the state that has to be recorded before the commands that follow from
-// it are sent.
-type Batch struct {
-	Jobs []*pb.StoredJob
-	// Interference is the learned interference model, nil if no snapshot is due.
-	Interference *pb.StoredPairs
-	// ExpiredJobs are the ids of finished jobs whose retention is over.
-	ExpiredJobs []string
-
-	starts  []*attempt
-	cursors []workerCursor
-	visible []visibleState
-}
-
-// Empty reports whether there is nothing to record.
-func (b *Batch) Empty() bool {
-	return len(b.Jobs) == 0 && len(b.ExpiredJobs) == 0 && len(b.cursors) == 0 && b.Interference == nil
-}
-
-// workerCursor is the newest end of a worker that a batch covers. Once the batch is
-// recorded, the worker may discard the ends up to it.
-type workerCursor struct {
-	worker      *worker
-	incarnation int64 // of the worker whose ends it counts
-	cursor      int64
-}
-
-// visibleState is the state of a job that callers are shown once the batch is
-// recorded.
-type visibleState struct {
-	job   *job
-	state pb.PublicState
-}
-
 // Output is what the caller carries out at once, without a record.
 type Output struct {
 	Commands       []Command
@@ -336,10 +302,6 @@
 // quarantine or of a retry delay makes a placement possible without any input.
 const planInterval = 100 * time.Millisecond
 
-// modelInterval is the shortest time between two records of the interference
-// model.
-const modelInterval = 2 * time.Second
-
 // planPause is the shortest time between two placement passes. Hundreds of
 // attempts end each second, and one pass serves all that ended since the last.
 const planPause = 15 * time.Millisecond
@@ -351,75 +313,6 @@
 	return out
 }
 
-// TakeBatch returns and clears what has to be recorded.
-func (c *Core) TakeBatch(now time.Time) *Batch {
-	b := &Batch{ExpiredJobs: c.expiredJobs, starts: c.starts, cursors: c.cursors}
-	if now.Sub(c.modelRecordedAt) >= modelInterval && c.model.Version() != c.modelVersion {
-		c.modelRecordedAt, c.modelVersion = now, c.model.Version()
-		b.Interference = c.model.Snapshot()
-	}
-	for _, j := range c.changed {
-		j.changed = false
-		if c.jobs[j.sub.GetId()] != j {
-			continue
-		}
-		b.Jobs = append(b.Jobs, j.record())
-		b.visible = append(b.visible, visibleState{j, j.state()})
-	}
-	c.changed, c.expiredJobs, c.starts, c.cursors = nil, nil, nil, nil
-	return b
-}
-
-// Committed handles the confirmation of a batch by the store. The commands that
-// it allows are returned by the next TakeOutput.
-func (c *Core) Committed(b *Batch, now time.Time) {
-	for _, v := range b.visible {
-		if v.job.visible != v.state {
-			v.job.visible = v.state
-			c.addLogEntry("job "+stateName(v.state), v.job.sub.GetRequestId(), "job", v.job.sub.GetId(), "age_ms", now.Sub(v.job.received).Milliseconds())
-		}
-	}
-	for _, a := range b.starts {
-		c.sendStart(a, now)
-	}
-	for _, w := range b.cursors {
-		if w.incarnation != w.worker.incarnation {
-			continue
-		}
-		w.worker.cursor = max(w.worker.cursor, w.cursor)
-		if w.worker.cursor >= w.worker.processed {
-			w.worker.nextHold = now
-			c.visitSoon(w.worker)
-		}
-	}
-	c.tickWorkers(now)
-}
-
-func stateName(s pb.PublicState) string {
-	switch s {
-	case pb.PublicState_PUBLIC_STATE_QUEUED:
-		return "queued"
-	case pb.PublicState_PUBLIC_STATE_RUNNING:
-		return "begun"
-	case pb.PublicState_PUBLIC_STATE_COMPLETED:
-		return "completed"
-	case pb.PublicState_PUBLIC_STATE_FAILED:
-		return "failed"
-	case pb.PublicState_PUBLIC_STATE_CANCELLED:
-		return "cancelled"
-	default:
-		return "unknown"
-	}
-}
-
-// markChanged adds a job to the next batch.
-func (c *Core) markChanged(j *job) {
-	if !j.changed {
-		j.changed = true
-		c.changed = append(c.changed, j)
-	}
-}
-
 // finish ends a job and stops its attempts.
 func (c *Core) finish(j *job, phase pb.JobPhase, reason string, now time.Time) {
 	if !j.active() {
