scheduler: a batch may be confirmed after the worker of one of its ends is gone

Found while reading the change: a worker that loses its entry and its last attempt while a batch with one of its ends is being recorded is removed from the list of workers, and the confirmation then set the due time of a slot that another worker has, or that is out of range, which ends the owner.

--- a/internal/scheduler/no_room.go
+++ b/internal/scheduler/no_room.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"math"
 	"slices"
-	"time"
 )
 
 // noRoom is the newest pass after which no worker had room for a step.
@@ -110,15 +109,14 @@
 // stepCosts holds what is the same for all workers when their costs for the tasks of
 // one step are computed.
 type stepCosts struct {
-	margin   float64       // see Core.margin
-	starved  bool          // see step.starved
-	expected time.Duration // of a task
+	margin  float64 // see Core.margin
+	starved bool    // see step.starved
 }
 
 // prepare computes stepCosts for a step.
 func (p *pass) prepare(s *step) {
-	p.costs = stepCosts{expected: p.core.expectedDuration(s)}
+	p.costs = stepCosts{}
 	if s.filler() {
-		p.costs.margin, p.costs.starved = p.core.margin(s, p.now), s.starved(p.now)
+		p.costs = stepCosts{p.core.margin(s, p.now), s.starved(p.now)}
 	}
 }
--- a/internal/scheduler/visits.go
+++ b/internal/scheduler/visits.go
@@ -21,8 +21,15 @@
 }
 
 // visitSoon lets the next tick visit a worker. It is called whenever something may have
-// become due earlier.
-func (c *Core) visitSoon(w *worker) { c.visits[w.slot] = 0 }
+// become due earlier. A batch that is being recorded may refer to a worker that is gone.
+func (c *Core) visitSoon(w *worker) {
+	if w.slot != removedSlot {
+		c.visits[w.slot] = 0
+	}
+}
+
+// removedSlot is the slot of a worker that is not in Core.workerList any more.
+const removedSlot = -1
 
 // tickWorkers visits the workers for which something is due: it sends holds, ends the
 // attempts whose lease has certainly expired, and checks the others.
@@ -64,9 +71,12 @@
 	if w.mayHold() && w.nextHold.Before(at) {
 		at = w.nextHold
 	}
-	if len(w.attempts) > 0 && (w.leaseEnd.Before(at) || c.disabled.expireSilent) {
+	if len(w.attempts) > 0 && w.leaseEnd.Before(at) {
 		at = w.leaseEnd
 	}
+	if c.disabled.expireSilent {
+		at = now
+	}
 	return at
 }
 
@@ -86,6 +96,7 @@
 	for slot, w := range c.workerList {
 		if w.gone() {
 			delete(c.workers, w.id)
+			w.slot = removedSlot
 			continue
 		}
 		w.slot = len(kept)
