review: case 4, submissions of a replaced route never continue

Found: a job keeps the name of its route, and nothing of it is started once the newest configuration has no route of that name.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -5,4 +5,4 @@
 dir=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$dir/../.." || exit 2
 [ -x target/gooseberry-scheduler ] && [ -x target/review-standin ] || { echo "build the deploy file and review/build.sh first" >&2; exit 2; }
-exec target/review-standin -case crashes -dir "$dir"
+exec target/review-standin -case route -dir "$dir"
