daemon: replace the set of evacuations in one step

When records of the operator's topic were trimmed before they were read, all of them are read again. The set of evacuations was cleared and refilled one record at a time, and a term that began meanwhile took over a part of it, with the time of the earlier complete read: tasks could start in an evacuated failure domain until the next change of the set was passed on, which follows at once.

reset now holds the lock for the whole replacement. TestEvacuationsStayWhileTheyAreReadAgain saw one of two domains in 2 of 3 runs before, and passes 2 of 2 with the race detector now.

--- a/internal/daemon/requests.go
+++ b/internal/daemon/requests.go
@@ -26,28 +26,32 @@
 // apply applies a record of the operator's topic. It reports whether the set has
 // changed.
 func (r *operatorRequests) apply(rec store.Record) bool {
-	domain, ok := platform.DecodeEvacuation(rec.Key)
-	if !ok {
-		return false
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	before := len(r.domains)
-	if len(rec.Value) > 0 {
-		r.domains[domain] = true
-	} else {
-		delete(r.domains, domain)
-	}
+	r.applyLocked(rec)
 	return len(r.domains) != before
 }
 
 // reset replaces the set by the evacuations among the newest records of all keys.
 func (r *operatorRequests) reset(records []store.Record) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	clear(r.domains)
-	r.mu.Unlock()
 	for _, rec := range records {
-		r.apply(rec)
+		r.applyLocked(rec)
+	}
+}
+
+// applyLocked is apply for a caller that holds mu.
+func (r *operatorRequests) applyLocked(rec store.Record) {
+	domain, ok := platform.DecodeEvacuation(rec.Key)
+	switch {
+	case !ok:
+	case len(rec.Value) > 0:
+		r.domains[domain] = true
+	default:
+		delete(r.domains, domain)
 	}
 }
 
