--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -105,6 +105,11 @@
 
 // connect starts a relay.
 func (s *site) connect(instance string, change func(*Session)) *relayProcess {
+	return s.connectOver(instance, change, func(end relayEnd) RelayStream { return end })
+}
+
+// connectOver starts a relay that uses the stream that wrap returns.
+func (s *site) connectOver(instance string, change func(*Session), wrap func(relayEnd) RelayStream) *relayProcess {
 	p := &relayProcess{workerCalls: &workerCalls{}, stream: newStream(), ended: make(chan error, 1)}
 	start := time.Now()
 	session := &Session{
@@ -119,7 +124,7 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	go func() {
 		defer cancel()
-		p.ended <- session.Run(ctx, stopping, relayEnd{p.stream})
+		p.ended <- session.Run(ctx, stopping, wrap(relayEnd{p.stream}))
 		p.stream.close()
 	}()
 	go func() {
