--- a/cmd/gooseberryctl/main_test.go
+++ b/cmd/gooseberryctl/main_test.go
@@ -172,3 +172,35 @@
 	c.Assert(all, qt.HasLen, 2)
 	c.Check(all[1].Error, qt.Not(qt.Equals), "")
 }
+
+// Guards against a response that is cut short and that an operator takes for a whole one.
+func TestCutResponses(t *testing.T) {
+	c := qt.New(t)
+	status := `{"instance":"a","config_version":7}`
+	list := `{"events":[{"hlc":3,"instance":"a","kind":"third","id":"x"},{"hlc":4,"instance":"a","kind":"fourth","id":"x"}]}`
+	for name, head := range map[string]string{
+		"length": "Content-Length: 500\r\n\r\n", "chunked": "Transfer-Encoding: chunked\r\n\r\n200\r\n", "neither": "\r\n",
+	} {
+		for command, body := range map[string]string{"status": status, "timeline": list} {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					return
+				}
+				cut := body // with a length, the whole object is still a part of the response
+				if name == "neither" {
+					cut = body[:len(body)/2]
+				}
+				_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\n" + head + cut))
+				_ = conn.Close()
+			}))
+			address := strings.TrimPrefix(server.URL, "http://")
+			code, stdout, stderr := runCLI(command, "--entry", address)
+			server.Close()
+			c.Check(code, qt.Equals, exitPartial, qt.Commentf("%s, %s", command, name))
+			c.Check(stdout+stderr, qt.Contains, address)
+			c.Check(stdout, qt.Not(qt.Contains), "config_version")
+			c.Check(stdout, qt.Not(qt.Contains), "third")
+		}
+	}
+}
