load: an answer about another job is wrong

The load tool took each state that a call about a job returned, so a run in which an instance answered about another job reported no wrong answer. The answer names its job: the tool now compares it with the one asked for, counts a difference as a wrong answer and the call's outcome as unknown.

--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -42,6 +43,8 @@
 	name string
 	http *http.Client
 	out  *history.Writer
+	// wrongJobs counts answers about another job than the one asked for.
+	wrongJobs atomic.Int64
 
 	mu       sync.Mutex
 	writeErr error
--- a/internal/load/jobs.go
+++ b/internal/load/jobs.go
@@ -49,20 +49,21 @@
 	if err != nil {
 		return JobStatus{}, CallResult{Outcome: history.OutcomeNotRun, Err: err}
 	}
-	return c.jobCall(ctx, http.MethodPost, "http://"+entry.Address+"/v1/jobs", body)
+	return c.jobCall(ctx, http.MethodPost, "http://"+entry.Address+"/v1/jobs", job.ID, body)
 }
 
 // CancelJob requests the cancellation of a job and returns its state.
 func (c *Client) CancelJob(ctx context.Context, entry Entry, id string) (JobStatus, CallResult) {
-	return c.jobCall(ctx, http.MethodDelete, "http://"+entry.Address+"/v1/jobs/"+id, nil)
+	return c.jobCall(ctx, http.MethodDelete, "http://"+entry.Address+"/v1/jobs/"+id, id, nil)
 }
 
 // GetJob returns the state of a job.
 func (c *Client) GetJob(ctx context.Context, entry Entry, id string) (JobStatus, CallResult) {
-	return c.jobCall(ctx, http.MethodGet, "http://"+entry.Address+"/v1/jobs/"+id, nil)
+	return c.jobCall(ctx, http.MethodGet, "http://"+entry.Address+"/v1/jobs/"+id, id, nil)
 }
 
-func (c *Client) jobCall(ctx context.Context, method, url string, body []byte) (JobStatus, CallResult) {
+// jobCall makes a call that returns the state of a job; id may be empty if it is unknown.
+func (c *Client) jobCall(ctx context.Context, method, url, id string, body []byte) (JobStatus, CallResult) {
 	ctx, cancel := context.WithTimeout(ctx, jobCallTimeout)
 	defer cancel()
 	call, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
@@ -75,8 +76,13 @@
 		return JobStatus{}, result
 	}
 	status, err := parseJob(result.Body)
+	if err == nil && id != "" && status.ID != id {
+		err = errors.Errorf("the answer is about job %.100q, want %s", status.ID, id)
+		c.wrongJobs.Add(1)
+	}
 	if err != nil {
 		result.Outcome, result.Err = history.OutcomeUnknown, err
+		return JobStatus{}, result
 	}
 	return status, result
 }
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -226,3 +226,25 @@
 	c.Assert(report.Found, qt.Equals, int64(late))
 	c.Assert(report.Wrong, qt.Equals, int64(0))
 }
+
+// Guards against a report that counts the state of another job as an answer.
+func TestAnswerAboutAnotherJobIsWrong(t *testing.T) {
+	c := qt.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, `{"id":"a","job":"report","state":"done"}`)
+	}))
+	defer server.Close()
+	entry := Entry{Domain: "perth-hills", Address: strings.TrimPrefix(server.URL, "http://")}
+	client := NewClient("test", nil)
+	_, result := client.GetJob(context.Background(), entry, "a")
+	c.Check(result.Outcome, qt.Equals, history.OutcomeOK)
+	_, result = client.GetJob(context.Background(), entry, "b")
+	c.Check(result.Outcome, qt.Equals, history.OutcomeUnknown)
+
+	opts := testOptions(entry)
+	opts.MaxCount, opts.Jobs, opts.JobRate, opts.Duration, opts.JobWait = 3, []string{"report"}, 100, 100*time.Millisecond, 0
+	opts.Rate = 0
+	report := Run(context.Background(), opts, NewClient("test", nil))
+	c.Check(report.Jobs > 0, qt.IsTrue)
+	c.Check(report.Wrong, qt.Equals, report.Jobs)
+}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -60,7 +60,9 @@
 	r.calls.Wait()
 	stop()
 	polling.Wait()
-	return r.collect.finalReport()
+	report := r.collect.finalReport()
+	report.Wrong += client.wrongJobs.Load()
+	return report
 }
 
 // startArrivals starts each planned arrival at its time, whether or not earlier ones
