remote: no later call on a connection whose call was refused

A caller could get not_run for a request that a target ran, and a non-idempotent request could run twice: a target that refuses a request and sends the refusal twice has the second one read as the response to the next attempt, which has the same id and goes out on the same connection. Nothing else can follow an answer with the same id: after all other failures the connection is closed, and after an answer there is no further attempt.

TestRepeatedRefusalIsNotTakenForTheNextAttempt, 400 requests at a target that refuses each first attempt, repeats each response after 2 ms and takes 5 ms to run one: 2 and 5, then 2 and 3 requests that ran were reported as not run (empty and non-empty refusal, two runs). Now a refusal retires its connection: it is closed, and a call that has got it meanwhile writes nothing on it, while one that has been sent is completed. 0 in three runs with the race detector.

--- a/internal/remote/conn.go
+++ b/internal/remote/conn.go
@@ -39,6 +39,7 @@
 	active     bool
 	written    bool // by the newest call
 	aborted    bool
+	retired    bool // no later call may use the connection
 }
 
 // begin starts a call and returns its number. The first byte of the response must
@@ -47,6 +48,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.callNumber++
+	c.aborted = c.aborted || c.retired
 	c.active = true
 	c.written = false
 	c.silenceTimeout = firstByteTimeout
@@ -64,6 +66,18 @@
 	}
 	c.active = false
 	c.setDeadline(time.Time{})
+	if c.retired {
+		_ = c.Close()
+	}
+}
+
+// retire finishes a call and keeps later calls off the connection. If it already serves
+// the next call, that one is completed.
+func (c *trackedConn) retire(callNumber int) {
+	c.mu.Lock()
+	c.retired = true
+	c.mu.Unlock()
+	c.end(callNumber)
 }
 
 // abort closes the connection and reports whether the call may have written a
--- a/internal/remote/target.go
+++ b/internal/remote/target.go
@@ -90,7 +90,9 @@
 	invokeErr.Target = t.name
 	if invokeErr.NotRun {
 		invokeErr.Sent = true
-		call.end()
+		// The next attempt has the same id: on this connection, a repetition of the
+		// refusal would be taken for its response.
+		call.retire()
 		return TargetAnswer{}, invokeErr
 	}
 	invokeErr.Sent = call.abort()
@@ -204,6 +206,14 @@
 	}
 }
 
+func (c *trackedCall) retire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		c.conn.retire(c.callNumber)
+	}
+}
+
 // abort closes the call's connection and reports whether a byte of the request
 // may have been sent.
 func (c *trackedCall) abort() bool {
