peer: test of replies that come after their call ended

Of 60 calls to a peer that answers after 0, 50 or 100 ms with a limit of 60 ms, none gets the reply to another. Passes on the code as it was.

--- a/internal/peer/repeated_test.go
+++ b/internal/peer/repeated_test.go
@@ -52,11 +52,11 @@
 
 // exchanges makes calls in turn and returns how many succeeded, and how many of these got
 // the reply to another call.
-func exchanges(t *testing.T, address string, calls int) (answered, wrong int) {
+func exchanges(address string, calls int, timeout time.Duration) (answered, wrong int) {
 	pool := NewPool(Options{MaxConnections: 1, DialTimeout: time.Second, MaxMessageBytes: 1 << 20})
 	defer func() { _ = pool.Close() }()
 	for n := range calls {
-		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		var reply *pb.ExchangeReply
 		err := pool.Call(ctx, address, func(ctx context.Context, client pb.DRPCPeerClient) (err error) {
 			reply, err = client.Exchange(ctx, &pb.ExchangeRequest{ConfigVersion: int64(n)})
@@ -79,14 +79,14 @@
 func TestRepeatedReplyIsNotTakenForTheNext(t *testing.T) {
 	for _, delay := range []time.Duration{0, time.Millisecond, 3 * time.Millisecond} {
 		var repeated atomic.Int32
-		answered, wrong := exchanges(t, serveExchanges(t, func(conn net.Conn, data []byte) {
+		answered, wrong := exchanges(serveExchanges(t, func(conn net.Conn, data []byte) {
 			_, _ = conn.Write(data)
 			time.AfterFunc(delay, func() {
 				if _, err := conn.Write(data); err == nil {
 					repeated.Add(1)
 				}
 			})
-		}), 200)
+		}), 200, 10*time.Second)
 		qt.Check(t, wrong, qt.Equals, 0, qt.Commentf("second reply after %v", delay))
 		qt.Check(t, answered > 0, qt.IsTrue)
 		t.Logf("second reply after %v: %d sent, %d of 200 calls answered", delay, repeated.Load(), answered)
@@ -99,10 +99,22 @@
 		func([]byte) int { return 0 }, func([]byte) int { return 1 },
 		func(data []byte) int { return len(data) / 2 }, func(data []byte) int { return len(data) - 8 },
 	} {
-		answered, _ := exchanges(t, serveExchanges(t, func(conn net.Conn, data []byte) {
+		answered, _ := exchanges(serveExchanges(t, func(conn net.Conn, data []byte) {
 			_, _ = conn.Write(data[:left(data)])
 			_ = conn.Close()
-		}), 3)
+		}), 3, 10*time.Second)
 		qt.Check(t, answered, qt.Equals, 0)
 	}
 }
+
+// Guards against a reply that comes after its call ended and is taken for that to the next
+// call.
+func TestLateReplyIsNotTakenForTheNext(t *testing.T) {
+	var sent atomic.Int32
+	answered, wrong := exchanges(serveExchanges(t, func(conn net.Conn, data []byte) {
+		delay := time.Duration(sent.Add(1)%3) * 50 * time.Millisecond
+		time.AfterFunc(delay, func() { _, _ = conn.Write(data) })
+	}), 60, 60*time.Millisecond)
+	qt.Check(t, wrong, qt.Equals, 0)
+	qt.Check(t, answered > 0 && answered < 60, qt.IsTrue, qt.Commentf("%d answered", answered))
+}
