scheduler: log what became of a job's starts when it counts as begun

The log did not tell a job that began because a worker answered its start from one whose start was only assigned. Each change of a job's state is now logged with the starts assigned, sent, answered, refused, unanswered and withheld, and the end of a withheld attempt names its cause.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -52,6 +52,7 @@
 	}
 	j := a.job()
 	j.started = true
+	j.starts.assigned++
 	c.notePlaced(t.step, now)
 	c.markTaskChanged(t)
 	return a
@@ -67,14 +68,14 @@
 	}
 	a.recorded = true
 	if a.stopReason != "" || !a.job().active() || !c.mayStartOn(w, now) {
-		c.countWithheld(w)
-		c.endAttempt(a, EndStopped, "", now)
+		c.withhold(a, now)
 		return
 	}
 	a.sentAt, a.progressAt, w.newestStart = now, now, now
 	lease := w.clockNow(now) + c.opts.startLease()
 	c.grant(w, lease, now)
 	w.commandsInFlight++
+	a.job().starts.sent++
 	s := a.step()
 	checkpoint := s.checkpointFor(a.task)
 	a.durationUsable = checkpoint == ""
@@ -164,20 +165,24 @@
 }
 
 func (c *Core) startDone(a *attempt, r CommandResult, now time.Time) {
-	w := a.worker
+	w, n := a.worker, &a.job().starts
 	switch {
 	case r.NotSent, c.disabled.trustUnanswered && r.Err != nil:
+		n.withheld++
 		a.task.limitedStarts--
 		c.endAttempt(a, EndStopped, "", now)
 	case r.Err != nil:
+		n.unanswered++
 		// The start may still be carried out. A confirmed stop rules that out.
 		c.stop(a, "the start was not answered", now)
 	case r.Refused == RefusedNone:
+		n.answered++
 		a.startedAt = now
 		if a.step().filler() && !c.disabled.ignoreInterference {
 			c.adjustFillers(w, now)
 		}
 	default:
+		n.refused++
 		c.addLogEntry("start refused", a.job().sub.GetRequestId(), "run", a.attemptID.String(), "worker", w.id, "reason", r.Refused.String())
 		if r.Refused == RefusedUnhealthy {
 			w.health.refused(now)
--- a/internal/scheduler/batch.go
+++ b/internal/scheduler/batch.go
@@ -75,7 +75,7 @@
 	for _, v := range b.visible {
 		if v.job.visible != v.state && !slices.Contains(b.Rejected, v.job.sub.GetId()) {
 			v.job.visible = v.state
-			c.addLogEntry("job "+stateName(v.state), v.job.sub.GetRequestId(), "job", v.job.sub.GetId(), "age_ms", now.Sub(v.job.received).Milliseconds())
+			c.addLogEntry("job "+stateName(v.state), v.job.sub.GetRequestId(), "job", v.job.sub.GetId(), "age_ms", now.Sub(v.job.received).Milliseconds(), "starts", v.job.starts.String())
 		}
 	}
 	for _, a := range b.starts {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -12,6 +12,7 @@
 	sub      *pb.Submission
 	phase    pb.JobPhase
 	started  bool // a task was placed
+	starts   startCounts
 	received time.Time
 	endedAt  time.Time
 	rounds   []*round
--- /dev/null
+++ b/internal/scheduler/starts.go
@@ -0,0 +1,30 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+)
+
+// startCounts counts the starts of a job's tasks under this owner by what became of them.
+type startCounts struct {
+	assigned   int // placed on a worker
+	sent       int
+	answered   int // with success
+	refused    int
+	unanswered int // may have been carried out
+	withheld   int // not sent after all
+}
+
+func (n startCounts) String() string {
+	return fmt.Sprintf("assigned %d, sent %d, answered %d, refused %d, unanswered %d, withheld %d", n.assigned, n.sent, n.answered, n.refused, n.unanswered, n.withheld)
+}
+
+// withhold ends a placed attempt whose start is not sent.
+func (c *Core) withhold(a *attempt, now time.Time) {
+	c.countWithheld(a.worker)
+	a.job().starts.withheld++
+	if a.stopReason == "" {
+		a.stopReason = "the start was withheld"
+	}
+	c.endAttempt(a, EndStopped, "", now)
+}
