scheduler: a job begins when a worker is known to have run one of its tasks

A job now begins with a start that was answered with success, or an attempt or an end that a worker lists. A start that was not answered leaves the job waiting until a worker lists it. Records of earlier versions keep their meaning.

TestLateOwnerPlacesUrgentWorkFirst measures placement, and now reads the count of placed starts instead of the flag that was set with it.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -50,9 +50,7 @@
 	} else {
 		c.starts = append(c.starts, a)
 	}
-	j := a.job()
-	j.started = true
-	j.starts.assigned++
+	a.job().starts.assigned++
 	c.notePlaced(t.step, now)
 	c.markTaskChanged(t)
 	return a
@@ -178,6 +176,7 @@
 	case r.Refused == RefusedNone:
 		n.answered++
 		a.startedAt = now
+		c.noteBegun(a.job())
 		if a.step().filler() && !c.disabled.ignoreInterference {
 			c.adjustFillers(w, now)
 		}
@@ -204,6 +203,7 @@
 			continue
 		}
 		newest = max(newest, e.Number)
+		c.noteBegun(c.jobs[e.AttemptID.Job])
 		if a := w.attempts[e.AttemptID]; a != nil {
 			c.endAttempt(a, e.Reason, e.Checkpoint, now)
 		} else {
@@ -253,6 +253,7 @@
 				continue
 			}
 		}
+		c.noteBegun(a.job())
 		a.listedIn = w.answers
 		if a.seenAt.IsZero() {
 			a.seenAt = now
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -250,7 +250,7 @@
 func (c *Core) Waiting() map[string]int64 {
 	waiting := make(map[string]int64)
 	for _, j := range c.jobs {
-		if j.active() && !j.started {
+		if j.active() && !j.begun {
 			waiting[j.sub.GetQueue()]++
 		}
 	}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -11,7 +11,7 @@
 type job struct {
 	sub      *pb.Submission
 	phase    pb.JobPhase
-	started  bool // a task was placed
+	begun    bool // a worker is known to have run one of its tasks
 	starts   startCounts
 	received time.Time
 	endedAt  time.Time
@@ -196,7 +196,7 @@
 	case pb.JobPhase_JOB_PHASE_CANCELLED:
 		return pb.PublicState_PUBLIC_STATE_CANCELLED
 	}
-	if j.started {
+	if j.begun {
 		return pb.PublicState_PUBLIC_STATE_RUNNING
 	}
 	return pb.PublicState_PUBLIC_STATE_QUEUED
--- a/internal/scheduler/pass_work_test.go
+++ b/internal/scheduler/pass_work_test.go
@@ -121,7 +121,7 @@
 		for range 13 {
 			sim.run(simStep)
 			for _, sub := range []*pb.Submission{urgent, filler} {
-				if _, seen := started[sub.GetId()]; !seen && sim.core.jobs[sub.GetId()].started {
+				if _, seen := started[sub.GetId()]; !seen && sim.core.jobs[sub.GetId()].starts.assigned > 0 {
 					started[sub.GetId()] = sim.now.Sub(submitted)
 				}
 			}
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -9,7 +9,7 @@
 
 // record returns the stored form of a job's state, of its blocks those that changed.
 func (j *job) record() JobRecord {
-	r := &pb.StoredJob{Id: j.sub.GetId(), Phase: j.phase, Begun: j.started}
+	r := &pb.StoredJob{Id: j.sub.GetId(), Phase: j.phase, Begun: j.begun}
 	if !j.endedAt.IsZero() {
 		r.EndedMs = j.endedAt.UnixMilli()
 		if j.unstorable || !j.hasAttempts() {
@@ -74,7 +74,7 @@
 		return
 	}
 	stored := record.State
-	j.phase, j.started = stored.GetPhase(), stored.GetBegun()
+	j.phase, j.begun = stored.GetPhase(), stored.GetBegun()
 	if !j.active() {
 		c.restoreEnd(j, stored, now)
 	}
--- a/internal/scheduler/starts.go
+++ b/internal/scheduler/starts.go
@@ -28,3 +28,15 @@
 	}
 	c.endAttempt(a, EndStopped, "", now)
 }
+
+// noteBegun notes that a worker has run one of a job's tasks. j is nil if the job is not
+// known.
+func (c *Core) noteBegun(j *job) {
+	if j == nil || j.begun {
+		return
+	}
+	j.begun = true
+	if j.active() {
+		c.markChanged(j)
+	}
+}
