--- a/internal/daemon/queue_lengths.go
+++ b/internal/daemon/queue_lengths.go
@@ -12,6 +12,10 @@
 // counted over all jobs, and callers ask many times a second.
 const queueLengthAge = 250 * time.Millisecond
 
+// maxIntakeAge is the age of the newest read of the intake up to which the owner counts
+// waiting jobs. It is longer than readWait.
+const maxIntakeAge = 3 * time.Second
+
 // queueLengths are the numbers of waiting jobs by queue, as last counted. It is safe for
 // concurrent use.
 type queueLengths struct {
