daemon: the owner gives no queue length that lacks jobs accepted long before

The owner now tracks up to which time it has read each partition of the intake, and refuses the number with a retry if one of them has not been read for 3 s. The states of known jobs are answered as before; an unknown job was already looked up in the store. A new owner reads the intake after its claim, and counts from there. The log shows the epoch with states and queue lengths, and the metric owner_intake_age_seconds the age of the intake behind queue lengths.

--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -151,7 +151,7 @@
 func (i *Instance) State(ctx context.Context, requestID, id string) (pb.PublicState, error) {
 	start := time.Now()
 	state, err := i.jobState(ctx, requestID, id)
-	i.logCall("state", requestID, id, start, err, logrus.Fields{"state": state.String()})
+	i.logCall("state", requestID, id, start, err, logrus.Fields{"state": state.String(), "epoch": i.owner.Load().GetEpoch()})
 	return state, err
 }
 
@@ -185,7 +185,7 @@
 			waiting = reply.GetWaiting()
 			return reply.GetOwner(), err
 		})
-	i.logCall("queue length", requestID, queue, start, err, logrus.Fields{"waiting": waiting})
+	i.logCall("queue length", requestID, queue, start, err, logrus.Fields{"waiting": waiting, "epoch": i.owner.Load().GetEpoch()})
 	return waiting, err
 }
 
--- a/internal/daemon/intake_reader.go
+++ b/internal/daemon/intake_reader.go
@@ -47,10 +47,15 @@
 	i := o.instance
 	var retry backoff
 	for o.ctx.Err() == nil {
+		start := bootTime()
 		b, err := i.store.Read(o.ctx, p, o.cursor(p), readWait)
+		if err == nil && b.Next <= o.cursor(p) {
+			start += min(bootTime()-start, readWait) // the store has waited in vain
+		}
 		if errors.Is(err, store.ErrTrimmed) {
 			// The newest record of each key is kept, so nothing is lost.
 			b.Records, b.Next, err = i.store.Newest(o.ctx, p)
+			b.End = b.Next
 		}
 		sleep(o.ctx, retry.after(err))
 		if err != nil {
@@ -59,7 +64,19 @@
 		if b.Next > o.cursor(p) && o.applyIntake(p, b.Records, b.Next) != nil {
 			return
 		}
+		if b.Next >= b.End {
+			o.intakeRead[p.Number].advance(start)
+		}
+	}
+}
+
+// intakeAge returns how long ago a job may have been accepted that the core has not read.
+func (o *ownerTerm) intakeAge() time.Duration {
+	age := time.Duration(0)
+	for n := range o.intakeRead {
+		age = max(age, o.intakeRead[n].age())
 	}
+	return age
 }
 
 // applyIntake passes records to the core, waits until it has applied them and
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -33,6 +33,7 @@
 	evacuations    *evacuationMetrics
 	nearWaits      *prometheus.HistogramVec
 	nearErrors     prometheus.Histogram
+	intakeAge      prometheus.Histogram
 	loop           *loopMetrics
 }
 
@@ -84,7 +85,10 @@
 			Name: "owner_near_wait_error_seconds", Help: "Duration of a wait that ended near minus the expected one.", Buckets: errorBuckets,
 		}),
 	}
-	r.MustRegister(m.nearWaits, m.nearErrors, m.calls, m.storeCalls, m.unreadable, m.rejected, m.claims, m.commands, m.commandSeconds, m.commitSeconds, m.decisions, m.relays, m.ownWorkers, m.owner, m.configVersion)
+	m.intakeAge = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "owner_intake_age_seconds", Help: "Age of the newest read of the intake when the owner was asked for the length of a queue.", Buckets: latencyBuckets,
+	})
+	r.MustRegister(m.intakeAge, m.nearWaits, m.nearErrors, m.calls, m.storeCalls, m.unreadable, m.rejected, m.claims, m.commands, m.commandSeconds, m.commitSeconds, m.decisions, m.relays, m.ownWorkers, m.owner, m.configVersion)
 	m.evacuations = newEvacuationMetrics(r)
 	m.loop = newLoopMetrics(r)
 	if dropped != nil {
--- a/internal/daemon/owner_term.go
+++ b/internal/daemon/owner_term.go
@@ -64,6 +64,10 @@
 	mu            sync.Mutex
 	intakeCursors []int64 // by partition: the core has applied all records before this offset
 
+	// intakeRead are the boot times, by partition, up to which the core has applied all
+	// records.
+	intakeRead []storeContact
+
 	// The fields below are used by loop, and sequence by the append in flight.
 	sequence     int64
 	appending    bool
@@ -97,7 +101,10 @@
 	o := &ownerTerm{
 		instance: i, core: i.restoreCore(s, time.Now()), epoch: s.owner.GetEpoch(), ctx: ctx, end: cancel,
 		events: make(chan event, maxQueuedEvents), done: make(chan struct{}),
-		sequence: 1, intakeCursors: s.intakeEnd,
+		sequence: 1, intakeCursors: s.intakeEnd, intakeRead: make([]storeContact, len(s.intakeEnd)),
+	}
+	for n := range o.intakeRead {
+		o.intakeRead[n].advance(s.claimedAt)
 	}
 	debug.SetGCPercent(ownerGCPercent)
 	defer debug.SetGCPercent(defaultGCPercent)
--- a/internal/daemon/queue_lengths.go
+++ b/internal/daemon/queue_lengths.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"gooseberryreel/internal/errs"
 	"gooseberryreel/internal/scheduler"
 )
 
@@ -24,8 +25,14 @@
 	waiting map[string]int64
 }
 
-// queueLength returns the number of waiting jobs of a queue.
+// queueLength returns the number of waiting jobs of a queue. It fails if the core may lack
+// jobs that were accepted longer than maxIntakeAge ago.
 func (o *ownerTerm) queueLength(ctx context.Context, queue string) (int64, error) {
+	age := o.intakeAge()
+	o.instance.metrics.intakeAge.Observe(age.Seconds())
+	if age > maxIntakeAge {
+		return 0, errs.New("queue length", "", "the owner of epoch %d has not read the intake for %d ms", o.epoch, age.Milliseconds())
+	}
 	q := &o.queueLengths
 	q.mu.Lock()
 	fresh, n := time.Since(q.at) < queueLengthAge, q.waiting[queue]
