--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -123,6 +123,7 @@
 		return
 	}
 	w.commandsInFlight++
+	a.stopPending = true
 	c.out.Commands = append(c.out.Commands, Command{
 		Kind: CommandStop, Worker: w.id, Address: w.entry.Address, Domain: w.entry.Zone, Token: c.opts.Epoch, AttemptID: a.attemptID, SentAt: now,
 	})
@@ -152,8 +153,11 @@
 	case CommandStart:
 		c.startDone(a, r, now)
 	case CommandStop:
+		a.stopPending = false
 		if r.Err == nil && r.Refused != RefusedUnhealthy {
 			a.stoppedAt = now
+		} else {
+			c.checkBy(w, a.stopSentAt.Add(stopRetry))
 		}
 	case CommandThrottle:
 		a.speedDone(r, !c.disabled.trustSpeeds)
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -97,6 +97,7 @@
 	listedIn       int64     // number of the worker's newest answer that listed it
 	stopReason     string    // why it is being stopped, empty while it may run
 	stopSentAt     time.Time // when the newest stop was sent
+	stopPending    bool      // a stop is on its way, or waits to be sent
 	stoppedAt      time.Time // when a stop was answered
 	loss           lossCause // why it counts as lost, empty otherwise
 	crash          *crash    // of its worker, nil unless the worker was lost under it
--- a/internal/scheduler/visits.go
+++ b/internal/scheduler/visits.go
@@ -134,7 +134,7 @@
 			c.repeatSpeed(a, now)
 		}
 		switch {
-		case a.stopReason != "" && a.recorded && a.stoppedAt.IsZero() && now.Sub(a.stopSentAt) > stopRetry && w.silentSince.IsZero():
+		case a.stopDue(now) && w.silentSince.IsZero():
 			c.sendStop(a, now)
 		case a.stopReason == "" && a.recorded && a.startedAt.IsZero() && a.seenAt.IsZero() && w.adopted && now.Sub(a.sentAt) > startTimeout:
 			c.stop(a, "the start was not answered", now)
@@ -148,6 +148,11 @@
 	return c.nextCheckTime(next)
 }
 
+// stopDue reports whether a stop has to be sent again.
+func (a *attempt) stopDue(now time.Time) bool {
+	return a.stopReason != "" && a.recorded && a.stoppedAt.IsZero() && !a.stopPending && now.Sub(a.stopSentAt) > stopRetry
+}
+
 // nextCheckTime returns the first multiple of attemptCheckInterval from a time on, so that
 // the checks of a worker that become due at about the same time are made together.
 func (c *Core) nextCheckTime(t time.Time) time.Time {
@@ -169,7 +174,7 @@
 	}
 	switch {
 	case a.stopReason != "":
-		if a.recorded && a.stoppedAt.IsZero() {
+		if a.recorded && a.stoppedAt.IsZero() && !a.stopPending {
 			atMost(a.stopSentAt.Add(stopRetry))
 		}
 	case a.recorded && a.startedAt.IsZero() && a.seenAt.IsZero():
