emulator, soak: workers and a store that send a response twice

HTTP/1.1 matches responses to requests by order alone. No test had a back end that sends a response a second time, when the next request may be on its way. Emulated workers and the store can now repeat a share of their responses after a delay, whole or in part, workers also with their state of that time. The soak draws both faults with a random stream of their own, so that earlier seeds keep their faults.

--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -13,6 +13,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"gooseberryreel/internal/loopback"
 )
 
 // Fault selects how a call to the store fails.
@@ -69,6 +71,7 @@
 	choosePartitionFault atomic.Pointer[func(topic string, part int) Fault]
 	// chooseAppendFault is the same for appends.
 	chooseAppendFault atomic.Pointer[func(topic string, records []AppendedRecord) Fault]
+	repeater          atomic.Pointer[loopback.Repeater]
 	done              chan struct{}
 	once              sync.Once
 }
@@ -93,7 +96,7 @@
 	mux.HandleFunc("POST /log-join", s.join)
 	mux.HandleFunc("POST /log-leave", s.leave)
 	mux.HandleFunc("GET /log-owners", s.owners)
-	e.server = httptest.NewServer(e.inject(mux))
+	e.server = startServer(e.inject(mux), func() *loopback.Repetition { return e.repeater.Load().Draw() })
 	s.mu.Lock()
 	s.endpoints = append(s.endpoints, e)
 	s.mu.Unlock()
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -8,7 +8,10 @@
 	"net/url"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"gooseberryreel/internal/loopback"
 )
 
 // CommandFault selects how a command to a worker fails.
@@ -135,6 +138,7 @@
 	onCrash      func()
 	coldUntil    time.Time // see SetCold
 	dead         bool      // closed or crashed by a task; it executes nothing more
+	repeater     atomic.Pointer[loopback.Repeater]
 }
 
 type activeAttempt struct {
@@ -167,7 +171,7 @@
 	mux.HandleFunc("POST /run-stop", w.stop)
 	mux.HandleFunc("POST /hold", w.hold)
 	mux.HandleFunc("POST /pace", w.throttle)
-	w.server = httptest.NewServer(w.inject(mux))
+	w.server = startServer(w.inject(mux), w.drawRepetition)
 	go w.advancePeriodically()
 	return w
 }
@@ -400,14 +404,21 @@
 		closeWithoutResponse(rw)
 		return
 	}
-	active, ended := [][]any{}, [][]any{}
+	active, ended := w.lists()
+	writeJSON(rw, http.StatusOK, map[string]any{"ClockMs": w.clock().Milliseconds(), "born": w.incarnation, "Active": active, "Finished": ended})
+}
+
+// lists returns the active and the ended attempts as they are listed in the response
+// to hold. The caller holds the lock.
+func (w *Worker) lists() (active, ended [][]any) {
+	active, ended = [][]any{}, [][]any{}
 	for _, attempt := range w.active {
 		active = append(active, w.row(attempt))
 	}
 	for _, e := range w.ended {
 		ended = append(ended, []any{e.number, e.task, e.attempt, e.outcome, ""})
 	}
-	writeJSON(rw, http.StatusOK, map[string]any{"ClockMs": w.clock().Milliseconds(), "born": w.incarnation, "Active": active, "Finished": ended})
+	return active, ended
 }
 
 // row returns an active attempt as it is listed in the response to hold.
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -21,6 +21,11 @@
 
 	workerCPUMilli, workerMemoryMiB = 8000, 16000
 	taskCPUMilli, taskMemoryMiB     = 500, 256
+
+	// repeatShare is the fraction of a back end's responses that are repeated during
+	// the fault, at most repeatMaxDelay later.
+	repeatShare    = 0.3
+	repeatMaxDelay = 2 * time.Second
 )
 
 // deployment is the emulated platform with the scheduler processes that run on it.
@@ -302,6 +307,9 @@
 		return inject("/log-append", emulator.FaultLoseResponse, 3)
 	case StoreAppendsDelayed:
 		return inject("/log-append", emulator.FaultDelayed, 3)
+	case StoreRepeats:
+		p.endpoint.Repeat(d.newRepeater(f))
+		return func() { p.endpoint.Repeat(nil) }
 	case StorePartlyDown:
 		p.endpoint.InjectPartitions(func(topic string, part int) emulator.Fault {
 			if part%3 == 1 {
@@ -319,6 +327,11 @@
 	return func() {}
 }
 
+// newRepeater returns what draws the repeated responses of a fault.
+func (d *deployment) newRepeater(f Fault) *loopback.Repeater {
+	return loopback.NewRepeater(d.opts.Seed^uint64(f.At), repeatShare, repeatMaxDelay)
+}
+
 func (d *deployment) setProxyMode(proxy *loopback.Proxy, mode loopback.Mode) {
 	if err := proxy.SetMode(mode); err != nil {
 		d.addFinding("soak: set proxy mode: %v", err)
@@ -368,6 +381,9 @@
 		}
 	case WorkerCrash:
 		d.crashWorker(n, worker, f.For, n%2 == 0)
+	case WorkerRepeats:
+		worker.Repeat(d.newRepeater(f))
+		return func() { worker.Repeat(nil) }
 	case WorkerResized:
 		d.resizeWorker(w, workerCPUMilli/4)
 		return func() { d.resizeWorker(w, workerCPUMilli) }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -1,7 +1,8 @@
 // Package soak runs real scheduler processes against the emulated platform and
 // injects faults from outside: signals; connections that stall, stall in one
 // direction, are slow or are reset; a store that is unavailable or loses responses;
-// workers that restart, leave or execute commands late. It checks what callers
+// workers that restart, leave or execute commands late; workers and a store that send a
+// response twice. It checks what callers
 // and workers see against the guarantees of the system. A seed always yields the
 // same faults.
 package soak
@@ -45,6 +46,8 @@
 	WorkerCrash          Kind = "worker crash"
 	WorkerResized        Kind = "worker resized"
 	DomainEvacuated      Kind = "domain evacuated"
+	WorkerRepeats        Kind = "worker repeats responses"
+	StoreRepeats         Kind = "store repeats responses"
 )
 
 var kinds = []Kind{
@@ -56,6 +59,9 @@
 // before them keep their faults.
 var workerKinds = []Kind{WorkerCrash, WorkerResized}
 
+// repeatKinds are drawn apart for the same reason.
+var repeatKinds = []Kind{WorkerRepeats, StoreRepeats}
+
 // Fault is one fault of a plan.
 type Fault struct {
 	// At is the time of its start since the start of the plan, For its duration.
@@ -103,7 +109,8 @@
 	// followUpShare is the fraction of faults that a second fault on the same
 	// target follows after a quarter of the time to the next one.
 	followUpShare = 0.3
-	// workerKindsGap is the mean time between the starts of faults of workerKinds.
+	// workerKindsGap is the mean time between the starts of faults of workerKinds, and
+	// of repeatKinds.
 	workerKindsGap = 1500 * time.Millisecond
 )
 
@@ -129,28 +136,33 @@
 		}
 		at += gap
 	}
-	faults = append(faults, planWorkerKinds(o)...)
+	faults = append(faults, planApart(o, 2, workerKinds)...)
+	faults = append(faults, planApart(o, 4, repeatKinds)...)
 	faults = append(faults, planEvacuations(o)...)
 	slices.SortStableFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return faults
 }
 
-// planWorkerKinds returns the faults of workerKinds.
-func planWorkerKinds(o Options) []Fault {
-	rng := rand.New(rand.NewPCG(o.Seed, 2))
+// planApart returns the faults of some kinds, drawn with a random stream of their own.
+func planApart(o Options, stream uint64, kinds []Kind) []Fault {
+	rng := rand.New(rand.NewPCG(o.Seed, stream))
 	var faults []Fault
 	for at := time.Second; at < o.Duration-faultFreeTail; at += time.Duration(rng.ExpFloat64() * float64(workerKindsGap)) {
-		faults = append(faults, Fault{
+		f := Fault{
 			At: at, For: time.Duration(float64(3*time.Second) * (0.1 + rng.Float64())),
-			Kind: workerKinds[rng.IntN(len(workerKinds))], Target: rng.IntN(o.Workers), All: rng.Float64() < allTargetsShare/2,
-		})
+			Kind: kinds[rng.IntN(len(kinds))], Target: rng.IntN(o.Workers), All: rng.Float64() < allTargetsShare/2,
+		}
+		if !f.Kind.targetsWorkers() {
+			f.Target %= o.Instances
+		}
+		faults = append(faults, f)
 	}
 	return faults
 }
 
 func (k Kind) targetsWorkers() bool {
 	switch k {
-	case WorkerStalled, WorkerStalledOneWay, WorkerRestart, WorkerLeaves, CommandResponsesLost, CommandsDelayed, WorkerCrash, WorkerResized:
+	case WorkerStalled, WorkerStalledOneWay, WorkerRestart, WorkerLeaves, CommandResponsesLost, CommandsDelayed, WorkerCrash, WorkerResized, WorkerRepeats:
 		return true
 	}
 	return false
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -1,6 +1,9 @@
 package soak
 
 import (
+	"fmt"
+	"hash/fnv"
+	"slices"
 	"testing"
 	"time"
 
@@ -21,5 +24,18 @@
 			c.Assert(n == 0 || f.At >= plan[n-1].At, qt.IsTrue)
 		}
 	}
-	c.Assert(seen, qt.HasLen, len(kinds)+len(workerKinds)+1)
+	c.Assert(seen, qt.HasLen, len(kinds)+len(workerKinds)+len(repeatKinds)+1)
+}
+
+// Guards against a new kind of fault that changes the faults of earlier seeds.
+func TestEarlierSeedsKeepFaults(t *testing.T) {
+	h := fnv.New64a()
+	for seed := range uint64(20) {
+		for _, f := range Plan(Options{Seed: seed, Duration: 30 * time.Second, Instances: 4, Workers: 6}) {
+			if !slices.Contains(repeatKinds, f.Kind) {
+				_, _ = fmt.Fprintln(h, seed, f)
+			}
+		}
+	}
+	qt.Assert(t, h.Sum64(), qt.Equals, uint64(0x47bdf7c8cef0dbc3))
 }
