soak: check that each answer is whole and the caller's own

The soak took an answer that is not valid JSON for one that never arrived, and asked neither for pending jobs nor for jobs that nobody had submitted. A complete response with status 200 must now be valid JSON with the fields of its kind of call and a known state; a job that nobody has submitted must not be found; and the pending jobs of a queue must be at least half of those that were accepted over 15 s before, are not cancelled and of which no task has started.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -47,27 +47,39 @@
 // call sends a request to an instance and returns the HTTP status and the job
 // state of the response. Status 0 means that no complete response arrived.
 func (c *caller) call(instance int, method, id string, body any) (status int, state string) {
+	status, a := c.ask(instance, method, id, body)
+	if a.State != nil {
+		state = *a.State
+	}
+	return status, state
+}
+
+// ask sends a request as call does and returns the checked body of a response with
+// status 200.
+func (c *caller) ask(instance int, method, id string, body any) (int, answer) {
 	data, err := json.Marshal(body)
 	if err != nil {
 		c.deployment.addFinding("soak: encode request body: %v", err)
-		return 0, ""
+		return 0, answer{}
 	}
 	req, err := http.NewRequest(method, "http://"+c.deployment.processes[instance].callerProxy.Address+jobPathPrefix+id, bytes.NewReader(data))
 	if err != nil {
-		return 0, ""
+		return 0, answer{}
 	}
 	req.Host = queueHost
 	resp, err := c.client.Do(req)
 	if err != nil {
-		return 0, ""
+		return 0, answer{}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	var out struct{ State string }
 	raw, err := io.ReadAll(resp.Body)
-	if err != nil || resp.StatusCode == http.StatusOK && json.Unmarshal(raw, &out) != nil {
-		return 0, ""
+	if err != nil {
+		return 0, answer{} // the connection was closed
+	}
+	if resp.StatusCode == http.StatusOK {
+		return resp.StatusCode, c.checkAnswer(method, id, raw)
 	}
-	return resp.StatusCode, out.State
+	return resp.StatusCode, answer{}
 }
 
 func (c *caller) anyInstance() int { return c.rng.IntN(len(c.deployment.processes)) }
@@ -94,6 +106,7 @@
 			c.cancel(j)
 		}
 		c.checkState(j)
+		c.checkOthers(n)
 		c.sleepAbout(200 * time.Millisecond)
 	}
 }
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -44,7 +45,9 @@
 	reportMu sync.Mutex
 	jobs     map[string]*trackedJob
 	findings []string
-	crashes  sync.WaitGroup // workers that are down or come back
+	// pendingAnswers counts the checked answers of pending jobs.
+	pendingAnswers atomic.Int64
+	crashes        sync.WaitGroup // workers that are down or come back
 	// evacuations are all evacuations so far, the current ones without an end.
 	evacuations []*evacuation
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -20,6 +20,8 @@
 	Starts    int
 	// Evacuations counts those that lasted longer than their bound.
 	Evacuations int
+	// PendingAnswers counts the numbers of pending jobs that were checked.
+	PendingAnswers int
 }
 
 // startTimeout only ends a run whose processes never become ready.
@@ -102,7 +104,7 @@
 
 func (d *deployment) result(faults int) Result {
 	r := Result{Findings: append(d.findings, d.cluster.Violations()...), Faults: faults, Jobs: len(d.jobs)}
-	r.Evacuations = d.longEvacuations()
+	r.Evacuations, r.PendingAnswers = d.longEvacuations(), int(d.pendingAnswers.Load())
 	refused := make(map[string]bool)
 	for id, j := range d.jobs {
 		switch {
