standin: second responses that come late or in part

Twice sent both responses at once, when no next request is on its way. With twice_late_ms the second one is delayed by up to that time, and at times only its first bytes are sent. Requests to targets are matched by their id and get no answer to another request (100 in turn).

--- a/internal/remote/http_test.go
+++ b/internal/remote/http_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -104,20 +105,25 @@
 // Guards against a duplicate answer that is returned as the answer to the next
 // request on the connection.
 func TestTargetAnswersTwice(t *testing.T) {
-	c := qt.New(t)
-	site := startSite(t, nil)
-	target := newTarget(t, site.Addresses().Targets[targetName])
-	c.Assert(site.SetFaults(targetName, standin.Faults{Twice: true}), qt.IsNil)
-	answered := 0
-	for _, id := range strings.Split("a b c d e f g h i j", " ") {
-		answer, err := target.Invoke(context.Background(), request(id))
-		if err != nil {
-			continue
-		}
-		answered++
-		c.Assert(string(answer.Body), qt.Equals, string(standin.ResponseBody(id, []byte("tree 7"))))
+	for _, faults := range []standin.Faults{{Twice: true}, {Twice: true, TwiceLateMS: 5}} {
+		t.Run(fmt.Sprintf("second up to %d ms late", faults.TwiceLateMS), func(t *testing.T) {
+			c := qt.New(t)
+			site := startSite(t, nil)
+			target := newTarget(t, site.Addresses().Targets[targetName])
+			c.Assert(site.SetFaults(targetName, faults), qt.IsNil)
+			answered := 0
+			for n := range 100 {
+				id := fmt.Sprintf("r%d", n)
+				answer, err := target.Invoke(context.Background(), request(id))
+				if err != nil {
+					continue
+				}
+				answered++
+				c.Assert(string(answer.Body), qt.Equals, string(standin.ResponseBody(id, []byte("tree 7"))))
+			}
+			c.Assert(answered > 0, qt.IsTrue)
+		})
 	}
-	c.Assert(answered > 0, qt.IsTrue)
 }
 
 // Guards against waiting forever on a connection that went silent, and against the
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -30,6 +30,9 @@
 	Half bool `json:"half,omitempty"`
 	// Twice sends each response twice on the connection.
 	Twice bool `json:"twice,omitempty"`
+	// TwiceLateMS is the longest delay of the second response of Twice, of which a
+	// part is sent at times. 0 sends both at once.
+	TwiceLateMS int64 `json:"twice_late_ms,omitempty"`
 	// WrongID makes targets respond with another request id.
 	WrongID bool `json:"wrong_id,omitempty"`
 	// FailStarted makes a worker fail each task that it starts, and a target
@@ -51,7 +54,7 @@
 }
 
 func (f Faults) validate() error {
-	if f.SlowMS < 0 || f.LateMS < 0 || f.Percent < 0 || f.Percent > 100 {
+	if f.SlowMS < 0 || f.LateMS < 0 || f.TwiceLateMS < 0 || f.Percent < 0 || f.Percent > 100 {
 		return errors.New("faults: delays must not be negative and percent must be 0 to 100")
 	}
 	return nil
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -17,6 +17,7 @@
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 
+	"gooseberryreel/internal/loopback"
 	"gooseberryreel/internal/remote/wire"
 )
 
@@ -45,6 +46,7 @@
 	mu       sync.Mutex
 	listener net.Listener
 	faults   Faults
+	repeater *loopback.Repeater // draws the second responses of Twice; nil if they are not delayed
 	rng      *rand.Rand
 	closing  bool
 }
@@ -62,7 +64,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		ErrorLog:          stdlog.New(io.Discard, "", 0),
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, conn)
+			return loopback.ConnContext(context.WithValue(ctx, connKey{}, conn), conn)
 		},
 	}
 	listener, err := net.Listen("tcp", address)
@@ -133,7 +135,10 @@
 		return errors.Errorf("%s is closed", s.name)
 	}
 	wasDown := s.faults.Down
-	s.faults = f
+	s.faults, s.repeater = f, nil
+	if f.Twice && f.TwiceLateMS > 0 {
+		s.repeater = loopback.NewRepeater(s.rng.Uint64(), 1, time.Duration(f.TwiceLateMS)*time.Millisecond)
+	}
 	s.connSet.freeze(f.Freeze)
 	if f.SilentOpen {
 		s.connSet.silence()
@@ -165,29 +170,33 @@
 	return errors.Wrapf(err, "listen again for %s", s.name)
 }
 
-// drawFaults returns the faults of one call. It draws at random whether those that
-// Percent limits apply.
-func (s *server) drawFaults() Faults {
+// drawFaults returns the faults of one call and its delayed second response, if any.
+// It draws at random whether those that Percent limits apply.
+func (s *server) drawFaults() (Faults, *loopback.Repetition) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f := s.faults
 	if f.Percent > 0 && s.rng.IntN(100) >= f.Percent {
 		f.LoseAnswer, f.Half, f.Twice, f.WrongID, f.LateMS = false, false, false, false, 0
 	}
-	return f
+	if !f.Twice || s.repeater == nil {
+		return f, nil
+	}
+	f.Twice = false
+	return f, s.repeater.Draw()
 }
 
 // handle registers a handler whose calls are subject to the faults.
 func (s *server) handle(method, path string, call func(r *http.Request, f Faults) *response) {
 	s.router.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
-		f := s.drawFaults()
+		f, repetition := s.drawFaults()
 		if conn, ok := r.Context().Value(connKey{}).(*faultConn); ok {
 			conn.setDuplicateWrites(f.Twice)
 		}
 		s.sleep(time.Duration(f.SlowMS) * time.Millisecond)
 		resp := call(r, f)
 		s.sleep(time.Duration(f.LateMS) * time.Millisecond)
-		s.send(w, resp, f)
+		loopback.Serve(w, r, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { s.send(w, resp, f) }), repetition)
 	}).Methods(method)
 }
 
