--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -210,7 +210,11 @@
 	defer j.mu.Unlock()
 	switch {
 	case status == http.StatusGone && time.Since(accepted) > visibleBound:
-		c.deployment.addFinding("job %s: not found %v after its acknowledgement", j.id, time.Since(accepted))
+		if !j.lost {
+			c.deployment.addFinding("job %s: not found %v after its acknowledgement at %s", j.id, time.Since(accepted), accepted.UTC().Format(time.RFC3339Nano))
+		}
+		j.lost = true
+		return true
 	case status != http.StatusOK:
 		return false
 	case j.completed && state != "completed":
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -78,6 +78,7 @@
 	cancelledAt time.Time // when a cancellation was acknowledged
 	cancelSent  bool      // a cancellation was sent
 	completed   bool      // a caller saw the state "completed"
+	lost        bool      // a caller was told too late that it is not found
 }
 
 func newDeployment(o Options) (*deployment, error) {
