--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -89,6 +89,8 @@
 	Instances int
 	Workers   int
 	Callers   int
+	// RepeatsOnly leaves out all kinds of faults but repeatKinds.
+	RepeatsOnly bool
 	// Binary is the scheduler program.
 	Binary string
 	// Dir receives settings and the output of the processes.
@@ -116,6 +118,9 @@
 
 // Plan returns the faults of a seed in the order of their start times.
 func Plan(o Options) []Fault {
+	if o.RepeatsOnly {
+		return planApart(o, 4, repeatKinds)
+	}
 	rng := rand.New(rand.NewPCG(o.Seed, 1))
 	var faults []Fault
 	for at := time.Second; at < o.Duration-faultFreeTail; {
