--- a/internal/processtest/requests_faults_test.go
+++ b/internal/processtest/requests_faults_test.go
@@ -90,7 +90,7 @@
 }
 
 // Guards G1, G4, G5 and G6 against targets whose responses are late, truncated,
-// duplicated, for another request or missing, all at the same time. Callers must get
+// duplicated at once or late, for another request or missing, all at the same time. Callers must get
 // correct answers, and the service must recover once the faults end. Target 5 is
 // frozen and later runs what it received; target 7 stays frozen.
 func TestTargetsAnswerWrong(t *testing.T) {
@@ -106,9 +106,10 @@
 	h.setTargetFaults(standin.Faults{Twice: true}, 3)
 	h.setTargetFaults(standin.Faults{WrongID: true, Percent: 60}, 4)
 	h.setTargetFaults(standin.Faults{LoseAnswer: true, Percent: 60}, 6)
+	h.setTargetFaults(standin.Faults{Twice: true, TwiceLateMS: 50, Percent: 60}, 8)
 	h.setTargetFaults(standin.Faults{Freeze: true}, 5, 7)
 	load.awaitAnswers(300)
-	h.setTargetFaults(standin.Faults{}, 1, 2, 3, 4, 5, 6)
+	h.setTargetFaults(standin.Faults{}, 1, 2, 3, 4, 5, 6, 8)
 	load.awaitAnswers(100)
 	load.stop()
 	h.awaitServing(a, b, c)
