--- a/internal/loopback/repeat.go
+++ b/internal/loopback/repeat.go
@@ -95,7 +95,7 @@
 		return
 	}
 	body := buffered.body.Bytes()
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	setServerHeader(w.Header(), body)
 	header := w.Header().Clone()
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
@@ -116,6 +116,15 @@
 	})
 }
 
+// setServerHeader sets the fields that a server adds otherwise, so that copies have them.
+func setServerHeader(header http.Header, body []byte) {
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	header.Set("Date", time.Now().UTC().Format(http.TimeFormat))
+	if header.Get("Content-Type") == "" && len(body) > 0 {
+		header.Set("Content-Type", http.DetectContentType(body))
+	}
+}
+
 // rawResponse returns a response as it is sent over a connection.
 func rawResponse(status int, header http.Header, body []byte) []byte {
 	var raw bytes.Buffer
--- a/internal/loopback/repeat_test.go
+++ b/internal/loopback/repeat_test.go
@@ -1,7 +1,9 @@
 package loopback
 
 import (
+	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,18 +14,20 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// Guards against a fault that repeats no response, or mixes it with the next one.
+// Guards against a fault that repeats no response, changes the copy, or mixes it with
+// the next response.
 func TestRepeatedResponseReachesConnection(t *testing.T) {
 	c := qt.New(t)
-	calls := 0
-	repetition := &Repetition{Part: 1, After: 5 * time.Millisecond, Rewrite: func(body []byte) []byte { return append([]byte("again "), body...) }}
+	repetitions := make(chan *Repetition, 3)
+	repetitions <- &Repetition{Part: 1, After: 5 * time.Millisecond}
+	repetitions <- &Repetition{Part: 1, Rewrite: func(body []byte) []byte { return append([]byte("again "), body...) }}
+	repetitions <- &Repetition{Part: 0.5}
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) })
-		if calls++; calls == 2 {
-			time.Sleep(50 * time.Millisecond) // the second response to call 1 arrives before the response to call 2
-			repetition = &Repetition{Part: 0.5}
-		}
-		Serve(w, r, handler, repetition)
+		handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(50 * time.Millisecond) // the second response to the call before arrives meanwhile
+			_, _ = io.WriteString(w, r.URL.Path)
+		})
+		Serve(w, r, handler, <-repetitions)
 	}))
 	server.Config.ConnContext = ConnContext
 	server.Start()
@@ -31,16 +35,27 @@
 	conn, err := net.Dial("tcp", server.Listener.Addr().String())
 	c.Assert(err, qt.IsNil)
 	defer conn.Close()
-	c.Assert(conn.SetDeadline(time.Now().Add(500*time.Millisecond)), qt.IsNil)
-	_, err = io.WriteString(conn, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
-	c.Assert(err, qt.IsNil)
-	data, _ := io.ReadAll(conn) // ends with the deadline
-	var bodies []string
-	for part := range bytes.SplitSeq(data, []byte("HTTP/1.1 200 OK\r\n")) {
-		_, body, _ := bytes.Cut(part, []byte("\r\n\r\n"))
-		bodies = append(bodies, string(body))
+	c.Assert(conn.SetDeadline(time.Now().Add(time.Second)), qt.IsNil)
+	for n := range 3 {
+		_, err = fmt.Fprintf(conn, "GET /%d HTTP/1.1\r\nHost: a\r\n\r\n", n+1)
+		c.Assert(err, qt.IsNil)
+	}
+	reader := bufio.NewReader(conn)
+	var header http.Header
+	for n, want := range []string{"/1", "/1", "/2", "again /2", "/3"} {
+		resp, err := http.ReadResponse(reader, nil)
+		c.Assert(err, qt.IsNil)
+		body, err := io.ReadAll(resp.Body)
+		c.Assert(err, qt.IsNil)
+		c.Check(string(body), qt.Equals, want)
+		if n == 1 {
+			c.Check(resp.Header, qt.DeepEquals, header)
+		}
+		header = resp.Header
 	}
-	c.Assert(bodies, qt.DeepEquals, []string{"", "/1", "again /1", "/2", ""}, qt.Commentf("%s", data))
+	part, _ := io.ReadAll(reader) // ends with the deadline
+	c.Check(string(part), qt.Matches, `(?s)HTTP/1\.1 200 OK\r\n.*`)
+	c.Check(bytes.Contains(part, []byte("/3")), qt.IsFalse)
 }
 
 // Guards against repetitions that are not drawn, or drawn with one delay only.
