--- a/cmd/gooseberry-soak/main.go
+++ b/cmd/gooseberry-soak/main.go
@@ -22,17 +22,17 @@
 )
 
 type options struct {
-	Binary      string           `help:"gooseberry-scheduler program." required:"" type:"existingfile"`
-	Seed        uint64           `help:"First seed." default:"1"`
-	Seeds       int              `help:"Number of consecutive seeds, run one after the other." default:"1"`
-	Duration    time.Duration    `help:"Length of the fault injection of each seed." default:"25s"`
-	Instances   int              `help:"Number of scheduler processes." default:"4"`
-	Workers     int              `help:"Number of emulated workers." default:"6"`
-	Callers     int              `help:"Number of concurrent callers." default:"6"`
-	RepeatsOnly bool             `help:"Inject repeated responses only."`
-	Dir         string           `help:"Directory for the settings and logs of seeds with findings." default:"soak" type:"path"`
-	Verbose     bool             `help:"Print each injected fault and each finding."`
-	Version     kong.VersionFlag `help:"Print the version and exit."`
+	Binary    string           `help:"gooseberry-scheduler program." required:"" type:"existingfile"`
+	Seed      uint64           `help:"First seed." default:"1"`
+	Seeds     int              `help:"Number of consecutive seeds, run one after the other." default:"1"`
+	Duration  time.Duration    `help:"Length of the fault injection of each seed." default:"25s"`
+	Instances int              `help:"Number of scheduler processes." default:"4"`
+	Workers   int              `help:"Number of emulated workers." default:"6"`
+	Callers   int              `help:"Number of concurrent callers." default:"6"`
+	Only      []soak.Kind      `help:"Kind of faults to inject, as printed with --verbose; may be repeated. Default: all."`
+	Dir       string           `help:"Directory for the settings and logs of seeds with findings." default:"soak" type:"path"`
+	Verbose   bool             `help:"Print each injected fault and each finding."`
+	Version   kong.VersionFlag `help:"Print the version and exit."`
 }
 
 func main() {
@@ -54,7 +54,7 @@
 			return exitFailed
 		}
 		runOptions := soak.Options{
-			Seed: seed, Duration: o.Duration, Instances: o.Instances, Workers: o.Workers, Callers: o.Callers, Binary: o.Binary, Dir: dir, RepeatsOnly: o.RepeatsOnly,
+			Seed: seed, Duration: o.Duration, Instances: o.Instances, Workers: o.Workers, Callers: o.Callers, Binary: o.Binary, Dir: dir, Only: o.Only,
 		}
 		if o.Verbose {
 			runOptions.Print = func(format string, args ...any) { fmt.Printf(format+"\n", args...) }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -89,8 +89,8 @@
 	Instances int
 	Workers   int
 	Callers   int
-	// RepeatsOnly leaves out all kinds of faults but repeatKinds.
-	RepeatsOnly bool
+	// Only leaves out all other kinds of faults; none means all kinds.
+	Only []Kind
 	// Binary is the scheduler program.
 	Binary string
 	// Dir receives settings and the output of the processes.
@@ -118,9 +118,6 @@
 
 // Plan returns the faults of a seed in the order of their start times.
 func Plan(o Options) []Fault {
-	if o.RepeatsOnly {
-		return planApart(o, 4, repeatKinds)
-	}
 	rng := rand.New(rand.NewPCG(o.Seed, 1))
 	var faults []Fault
 	for at := time.Second; at < o.Duration-faultFreeTail; {
@@ -144,6 +141,9 @@
 	faults = append(faults, planApart(o, 2, workerKinds)...)
 	faults = append(faults, planApart(o, 4, repeatKinds)...)
 	faults = append(faults, planEvacuations(o)...)
+	if len(o.Only) > 0 {
+		faults = slices.DeleteFunc(faults, func(f Fault) bool { return !slices.Contains(o.Only, f.Kind) })
+	}
 	slices.SortStableFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return faults
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -38,6 +38,10 @@
 	if o.Print == nil {
 		o.Print = func(string, ...any) {}
 	}
+	plan := Plan(o)
+	if len(plan) == 0 {
+		return Result{}, errors.New("the plan has no faults")
+	}
 	d, err := newDeployment(o)
 	defer d.close()
 	if err != nil {
@@ -54,7 +58,6 @@
 		callers[n] = newCaller(d, n)
 		group.Go(func() { callers[n].run(ctx) })
 	}
-	plan := Plan(o)
 	d.injectFaults(plan)
 	stop()
 	group.Wait()
