--- a/internal/emulator/repeat_test.go
+++ b/internal/emulator/repeat_test.go
@@ -24,7 +24,7 @@
 	for range 40 {
 		conn, err := net.Dial("tcp", w.Address())
 		c.Assert(err, qt.IsNil)
-		c.Assert(conn.SetDeadline(time.Now().Add(200 * time.Millisecond)), qt.IsNil)
+		c.Assert(conn.SetDeadline(time.Now().Add(200*time.Millisecond)), qt.IsNil)
 		req, err := http.NewRequest(http.MethodPost, "http://"+w.Address()+"/hold", strings.NewReader(`{"FencingToken":1}`))
 		c.Assert(err, qt.IsNil)
 		c.Assert(req.Write(conn), qt.IsNil)
