--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -20,6 +20,8 @@
 	Starts    int
 	// Evacuations counts those that lasted longer than their bound.
 	Evacuations int
+	// PendingAnswers counts the numbers of pending jobs that were checked.
+	PendingAnswers int
 }
 
 // startTimeout only ends a run whose processes never become ready.
@@ -36,6 +38,10 @@
 	if o.Print == nil {
 		o.Print = func(string, ...any) {}
 	}
+	plan := Plan(o)
+	if len(plan) == 0 {
+		return Result{}, errors.New("the plan has no faults")
+	}
 	d, err := newDeployment(o)
 	defer d.close()
 	if err != nil {
@@ -52,7 +58,6 @@
 		callers[n] = newCaller(d, n)
 		group.Go(func() { callers[n].run(ctx) })
 	}
-	plan := Plan(o)
 	d.injectFaults(plan)
 	stop()
 	group.Wait()
@@ -102,7 +107,7 @@
 
 func (d *deployment) result(faults int) Result {
 	r := Result{Findings: append(d.findings, d.cluster.Violations()...), Faults: faults, Jobs: len(d.jobs)}
-	r.Evacuations = d.longEvacuations()
+	r.Evacuations, r.PendingAnswers = d.longEvacuations(), int(d.pendingAnswers.Load())
 	refused := make(map[string]bool)
 	for id, j := range d.jobs {
 		switch {
