platform: a response can't reach another call

HTTP/1.1 matches responses to requests by their order on a connection, so a response that a peer repeats was taken for that to the next call: a start that was refused counted as accepted, a read of the store returned the records of another partition.

Unexpected data is counted (unexpected_responses_total) and some of it logged; net/http no longer prints it.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -97,13 +97,13 @@
 	s := o.Settings
 	i := &Instance{settings: s, log: o.Logger, store: o.Store, advice: o.Advice, registry: prometheus.NewRegistry(), ownerChanged: make(chan struct{}, 1), limits: newRecordLimits(s.GetStore())}
 	if i.store == nil {
-		i.store = platform.NewStoreClient(s.GetStore().GetAddress())
+		i.store = platform.NewStoreClient(s.GetStore().GetAddress(), i.observeUnexpected)
 	}
 	if o.WorkerClient == nil {
-		o.WorkerClient = platform.NewWorkerClient()
+		o.WorkerClient = platform.NewWorkerClient(i.observeUnexpected)
 	}
 	if i.advice == nil {
-		i.advice = platform.NewAdviceClient(s.GetAdviceAddress())
+		i.advice = platform.NewAdviceClient(s.GetAdviceAddress(), i.observeUnexpected)
 	}
 	i.metrics = newMetrics(i.registry, o.DroppedLines)
 	i.executor = &relay.Executor{Client: o.WorkerClient, Observe: i.metrics.observeCommand}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -5,8 +5,11 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"gooseberryreel/internal/scheduler"
+	"gooseberryreel/platform"
 )
 
 // DroppedLineCounter counts dropped log lines. It is safe for concurrent use.
@@ -34,6 +37,8 @@
 	nearWaits      *prometheus.HistogramVec
 	nearErrors     prometheus.Histogram
 	loop           *loopMetrics
+	unexpected     *prometheus.CounterVec
+	unexpectedLog  rate.Sometimes
 }
 
 // latencyBuckets are in seconds, from a response from memory to a caller's deadline.
@@ -83,8 +88,12 @@
 		nearErrors: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "owner_near_wait_error_seconds", Help: "Duration of a wait that ended near minus the expected one.", Buckets: errorBuckets,
 		}),
+		unexpected: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "unexpected_responses_total", Help: "Data of workers, the store and the advice service that no call asked for, by kind and call.",
+		}, []string{"kind", "call"}),
+		unexpectedLog: rate.Sometimes{First: 20, Interval: time.Second},
 	}
-	r.MustRegister(m.nearWaits, m.nearErrors, m.calls, m.storeCalls, m.unreadable, m.rejected, m.claims, m.commands, m.commandSeconds, m.commitSeconds, m.decisions, m.relays, m.ownWorkers, m.owner, m.configVersion)
+	r.MustRegister(m.unexpected, m.nearWaits, m.nearErrors, m.calls, m.storeCalls, m.unreadable, m.rejected, m.claims, m.commands, m.commandSeconds, m.commitSeconds, m.decisions, m.relays, m.ownWorkers, m.owner, m.configVersion)
 	m.evacuations = newEvacuationMetrics(r)
 	m.loop = newLoopMetrics(r)
 	if dropped != nil {
@@ -114,6 +123,16 @@
 	m.commands.WithLabelValues(kind, resultLabel(r)).Inc()
 }
 
+// observeUnexpected counts data of a peer that no call asked for, and logs some of it.
+func (i *Instance) observeUnexpected(u platform.Unexpected) {
+	i.metrics.unexpected.WithLabelValues(u.Kind, u.Step).Inc()
+	i.metrics.unexpectedLog.Do(func() {
+		i.log.WithFields(logrus.Fields{
+			"event": "unexpected response", "kind": u.Kind, "call": u.Step, "peer": u.Peer, "number": u.Call, "age_ms": u.Age.Milliseconds(),
+		}).Warn("call")
+	})
+}
+
 // resultLabel returns the value of the metrics' result label.
 func resultLabel(r scheduler.CommandResult) string {
 	switch {
