scheduler: a list older than the start of an attempt doesn't end it

An unlisted attempt was taken for lost if the hold was sent after the answer to its start. A response that a worker rendered for an earlier hold can still answer a later one, and its list can be older than the start: the task was started a second time while it ran.

An attempt remembers the worker's clock of the newest answer that shows it. A list ends it only if it is later on that clock.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -154,6 +154,7 @@
 	case CommandStop:
 		if r.Err == nil && r.Refused != RefusedUnhealthy {
 			a.stoppedAt = now
+			a.noteClock(r)
 		}
 	case CommandThrottle:
 		a.speedDone(r, !c.disabled.trustSpeeds)
@@ -174,6 +175,7 @@
 		c.stop(a, "the start was not answered", now)
 	case r.Refused == RefusedNone:
 		a.startedAt = now
+		a.noteClock(r)
 		if a.step().filler() && !c.disabled.ignoreInterference {
 			c.adjustFillers(w, now)
 		}
@@ -248,7 +250,7 @@
 				continue
 			}
 		}
-		a.listedIn = w.answers
+		a.listedIn, a.knownClock = w.answers, max(a.knownClock, hold.Clock)
 		if a.seenAt.IsZero() {
 			a.seenAt = now
 		}
@@ -261,7 +263,9 @@
 			a.task.checkpoint = row.Checkpoint
 		}
 	}
-	unlisted := func(a *attempt) bool { return a.listedIn != w.answers && a.recorded && a.endedIfUnlisted(w, sentAt) }
+	unlisted := func(a *attempt) bool {
+		return a.listedIn != w.answers && a.recorded && a.endedIfUnlisted(w, hold.Clock, sentAt)
+	}
 	if slices.ContainsFunc(w.list, unlisted) {
 		for _, a := range slices.Clone(w.list) {
 			if unlisted(a) {
@@ -276,15 +280,28 @@
 // answer to a hold has ended and can't start any more. That is so if its start or
 // its stop was answered, or it was listed, before the hold was sent, or if this
 // answer is the worker's first to this owner's token, since the worker then refuses
-// starts that an earlier owner has sent.
-func (a *attempt) endedIfUnlisted(w *worker, sentAt time.Time) bool {
+// starts that an earlier owner has sent. A list that was made before the newest answer
+// about the attempt shows nothing, whenever its hold was sent.
+func (a *attempt) endedIfUnlisted(w *worker, clock time.Duration, sentAt time.Time) bool {
 	if !w.adopted {
 		return true
 	}
+	if clock <= a.knownClock {
+		return false
+	}
 	before := func(t time.Time) bool { return !t.IsZero() && t.Before(sentAt) }
 	return before(a.startedAt) || before(a.stoppedAt) || before(a.seenAt)
 }
 
+// noteClock records the worker's clock in the answer to a command for the attempt. A
+// command that was sent before the worker restarted, or that another worker refused, may
+// have been answered on another clock.
+func (a *attempt) noteClock(r CommandResult) {
+	if r.Refused != RefusedWrongWorker && !r.Command.SentAt.Before(a.worker.incarnationAt) {
+		a.knownClock = max(a.knownClock, r.Clock)
+	}
+}
+
 // handleUnexpected handles an attempt that a worker lists although the core no longer
 // tracks it. The attempt continues if its task still waits for a worker, otherwise
 // it is stopped.
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -103,6 +103,10 @@
 	trial          bool      // its task was a suspect when it was placed
 	copy           bool      // another attempt at its task was active when it was placed
 
+	// knownClock is the worker's clock in its newest answer to a start or a stop of the
+	// attempt, or that listed it.
+	knownClock time.Duration
+
 	progress   int       // as reported by the worker, see ActiveAttempt
 	progressAt time.Time // newest change of progress
 	measured   int64     // see ActiveAttempt
