daemon: one lost read of the intake doesn't make the length of queues unknown

Callers got 503 for the length of all queues after one read of one partition was lost: the next read waited for records for 1.5 s, and then the newest read was older than 3 s. The read after a failed one doesn't wait now. TestQueueLengthDespiteLostReads had one query refused before, none now.

--- a/internal/daemon/intake_reader.go
+++ b/internal/daemon/intake_reader.go
@@ -46,11 +46,16 @@
 func (o *ownerTerm) consumeIntake(p store.Partition) {
 	i := o.instance
 	var retry backoff
+	wait := readWait
 	for o.ctx.Err() == nil {
 		start := bootTime()
-		b, err := i.store.Read(o.ctx, p, o.cursor(p), readWait)
+		b, err := i.store.Read(o.ctx, p, o.cursor(p), wait)
 		if err == nil && b.Next <= o.cursor(p) {
-			start += min(bootTime()-start, readWait) // the store has waited in vain
+			start += min(bootTime()-start, wait) // the store has waited in vain
+		}
+		wait = readWait
+		if err != nil {
+			wait = 0 // the age of the newest read grows meanwhile
 		}
 		if errors.Is(err, store.ErrTrimmed) {
 			// The newest record of each key is kept, so nothing is lost.
--- a/internal/daemon/queue_length_test.go
+++ b/internal/daemon/queue_length_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -50,3 +51,40 @@
 	})
 	t.Logf("counted after %v, %d queries refused", time.Since(accepted), refused)
 }
+
+// Guards against queue lengths that are refused because a single read of the intake was
+// lost, although the owner reads on.
+func TestQueueLengthDespiteLostReads(t *testing.T) {
+	for name, fault := range map[string]emulator.Fault{"lost response": emulator.FaultLoseResponse, "no response": emulator.FaultNoResponse} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newDeployment(t, 1, 0, shortTask)
+			s.submit(s.instances[0], 1, 1)
+			owner := s.owner()
+			var lost atomic.Int64
+			var at atomic.Int64
+			owner.endpoint.InjectPartitions(func(topic string, part int) emulator.Fault {
+				if topic == "keyed."+intakeTopic && part == 3 && lost.Add(1) == 1 {
+					at.Store(time.Now().UnixNano())
+					return fault
+				}
+				return emulator.FaultNone
+			})
+			refused, slowest := 0, time.Duration(0)
+			first, last := time.Duration(0), time.Duration(0)
+			for begun := time.Now(); time.Since(begun) < 9*time.Second; time.Sleep(50 * time.Millisecond) {
+				asked := time.Now()
+				status, _ := s.call(owner, http.MethodGet, "/jobs/", nil)
+				slowest = max(slowest, time.Since(asked))
+				if status != http.StatusOK {
+					refused++
+					if last = time.Since(time.Unix(0, at.Load())); first == 0 {
+						first = last
+					}
+				}
+			}
+			t.Logf("%d reads of the partition, %d queries refused from %v to %v after the fault, slowest %v", lost.Load(), refused, first, last, slowest)
+			qt.Check(t, refused, qt.Equals, 0)
+		})
+	}
+}
