--- a/internal/daemon/queue_length_test.go
+++ b/internal/daemon/queue_length_test.go
@@ -12,7 +12,8 @@
 )
 
 // Guards against a number of waiting jobs that lacks jobs accepted long before, and against
-// accepted jobs that are unknown: the owner stays listed, but gets no responses of the store and reads no submissions any more.
+// accepted jobs that are unknown: the owner stays listed, but gets no responses of the
+// store and reads no submissions any more.
 func TestQueueLengthOfCutOwner(t *testing.T) {
 	t.Parallel()
 	s := newDeployment(t, 2, 0, shortTask)
--- a/internal/processtest/requests_faults_test.go
+++ b/internal/processtest/requests_faults_test.go
@@ -90,9 +90,9 @@
 }
 
 // Guards G1, G4, G5 and G6 against targets whose responses are late, truncated,
-// duplicated at once or late, for another request or missing, all at the same time. Callers must get
-// correct answers, and the service must recover once the faults end. Target 5 is
-// frozen and later runs what it received; target 7 stays frozen.
+// duplicated at once or late, for another request or missing, all at the same time.
+// Callers must get correct answers, and the service must recover once the faults end.
+// Target 5 is frozen and later runs what it received; target 7 stays frozen.
 func TestTargetsAnswerWrong(t *testing.T) {
 	t.Parallel()
 	h := newHarness(t, standin.Site{Name: "wrong", Seed: 43, Domains: []standin.Domain{newDomain("north", 2, 8, 10)}})
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -2,9 +2,8 @@
 // injects faults from outside: signals; connections that stall, stall in one
 // direction, are slow or are reset; a store that is unavailable or loses responses;
 // workers that restart, leave or execute commands late; workers and a store that send a
-// response twice. It checks what callers
-// and workers see against the guarantees of the system. A seed always yields the
-// same faults.
+// response twice. It checks what callers and workers see against the guarantees of the
+// system. A seed always yields the same faults.
 package soak
 
 import (
