--- a/internal/remote/call.go
+++ b/internal/remote/call.go
@@ -30,9 +30,7 @@
 // errNotModified means that the resource still has the entity tag of the request.
 var errNotModified = errors.New("not modified")
 
-// client makes JSON calls to one peer, each on a connection of its own: a response
-// names no call, so on a connection that is used again a repeated response would be
-// taken for that to the next call.
+// client makes JSON calls to one peer.
 type client struct {
 	peer             string // name in error messages
 	base             string // URL without a final slash
@@ -48,14 +46,12 @@
 }
 
 func newClient(peer, base string, maxResponseBytes int64) *client {
-	c := &client{
+	return &client{
 		peer:             peer,
 		base:             strings.TrimRight(base, "/"),
 		maxResponseBytes: maxResponseBytes,
 		transport:        newTransport(maxPlatformConnections, 0),
 	}
-	c.transport.DisableKeepAlives = true
-	return c
 }
 
 // do makes one call with the default timeout extended by wait. A nil in sends no
@@ -87,6 +83,8 @@
 	if !call.abort() {
 		outcome = pb.Outcome_OUTCOME_NOT_RUN
 	}
+	// Other idle connections may be dead as well.
+	c.transport.CloseIdleConnections()
 	return errs.Wrap(step, c.peer, outcome, err).WithRetry()
 }
 
