scheduler: log why a step waits, and the longest wait by class

Every refusal of a worker now has a name, returned by the same code that decides. For steps with a task that has waited for 5 s the owner logs how many workers refuse it for which reason and whether the pass left the step out; owner_longest_wait_seconds has the longest wait by class. No decision changes.

--- a/internal/daemon/owner_load.go
+++ b/internal/daemon/owner_load.go
@@ -66,6 +66,7 @@
 	passes    *prometheus.CounterVec
 	busyShare prometheus.Gauge
 	late      prometheus.Counter
+	waits     *prometheus.GaugeVec
 }
 
 func newLoopMetrics(r prometheus.Registerer) *loopMetrics {
@@ -88,8 +89,11 @@
 		passes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "owner_passes_total", Help: "Placement passes, and what they visited, by kind.",
 		}, []string{"count"}),
+		waits: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "owner_longest_wait_seconds", Help: "For how long the task that waits longest has been ready to start, by class of work.",
+		}, []string{"class"}),
 	}
-	r.MustRegister(m.work, m.wait, m.oldest, m.passes, m.busyShare, m.late)
+	r.MustRegister(m.work, m.wait, m.oldest, m.passes, m.busyShare, m.late, m.waits)
 	return m
 }
 
@@ -151,11 +155,19 @@
 	l.nextPassAt = l.mark.Add(min(passRest*l.mark.Sub(began), maxPassRest))
 }
 
-// summarize exports the work since the previous summary, and logs it, once a second.
-func (l *loopLoad) summarize(log *logrus.Entry, counts scheduler.PassCounts) {
+// exportWaits exports the longest waits of ready tasks.
+func (l *loopLoad) exportWaits(waits [scheduler.WorkClasses]time.Duration) {
+	for class, d := range waits {
+		l.metrics.waits.WithLabelValues(scheduler.WorkClass(class).String()).Set(d.Seconds())
+	}
+}
+
+// summarize exports the work since the previous summary, and logs it, once a second. It
+// reports whether it did.
+func (l *loopLoad) summarize(log *logrus.Entry, counts scheduler.PassCounts) bool {
 	elapsed := l.mark.Sub(l.since)
 	if elapsed < loopSummaryInterval {
-		return
+		return false
 	}
 	fields := logrus.Fields{"event": "owner load", "for_ms": elapsed.Milliseconds(), "events": l.events, "longest_wait_ms": l.longest.Milliseconds()}
 	busy := time.Duration(0)
@@ -181,4 +193,5 @@
 	log.WithFields(fields).Info("decision")
 	l.since, l.counts, l.events, l.longest, l.spent = l.mark, counts, 0, 0, [workKinds]time.Duration{}
 	l.lateFor, l.notLogged = 0, 0
+	return true
 }
--- a/internal/daemon/owner_term.go
+++ b/internal/daemon/owner_term.go
@@ -234,7 +234,9 @@
 	defer timer.Stop()
 	for {
 		o.sendOutput()
-		o.load.summarize(o.instance.log, core.PassCounts())
+		if o.load.summarize(o.instance.log, core.PassCounts()) {
+			o.load.exportWaits(core.LongestWaits())
+		}
 		select {
 		case <-o.ctx.Done():
 			return
--- a/internal/scheduler/best.go
+++ b/internal/scheduler/best.go
@@ -12,25 +12,30 @@
 	var found *candidate
 	lowest := 0.0
 	for _, cand := range candidates {
-		if cost, ok := p.costIfFits(t, cand, q); ok && (found == nil || cost < lowest) {
+		if cost, why := p.costIfFits(t, cand, q); why == accepted && (found == nil || cost < lowest) {
 			found, lowest = cand, cost
 		}
 	}
 	return found
 }
 
-// costIfFits returns the cost of a worker for a task, and false if it can't start
-// the task.
-func (p *pass) costIfFits(t *task, cand *candidate, q *Queue) (float64, bool) {
-	if !cand.hasRoom(t, q, p.now) {
-		return 0, false
+// costIfFits returns the cost of a worker for a task, or why it can't start the task.
+func (p *pass) costIfFits(t *task, cand *candidate, q *Queue) (float64, refusal) {
+	if why := cand.refuses(t, q, p.now); why != accepted {
+		return 0, why
 	}
-	if cand.reserved && !t.step.filler() || cand.heldFor != nil && cand.heldForOther(t.step, p.core.expectedHere(t.step, cand.worker)) || !p.admits(cand, t) {
-		// It may fit in the next pass although nothing changes on the worker.
-		cand.changedIn = p.number + 1
-		return 0, false
+	why := accepted
+	switch {
+	case cand.reserved && !t.step.filler(), cand.heldFor != nil && cand.heldForOther(t.step, p.core.expectedHere(t.step, cand.worker)):
+		why = refusedReserved
+	case !p.admits(cand, t):
+		why = refusedGuarded
+	default:
+		return p.cost(t, cand)
 	}
-	return p.cost(t, cand)
+	// It may fit in the next pass although nothing changes on the worker.
+	cand.changedIn = p.number + 1
+	return 0, why
 }
 
 // ranking orders the workers that can start the tasks of one step by their costs.
@@ -84,7 +89,7 @@
 			continue
 		}
 		p.core.passCounts.Costed++
-		if cost, ok := p.costIfFits(r.task, cand, r.queue); ok {
+		if cost, why := p.costIfFits(r.task, cand, r.queue); why == accepted {
 			cand.position = len(r.entries)
 			r.entries = append(r.entries, rankedCandidate{cand, cost, w.index})
 		}
@@ -138,8 +143,8 @@
 	case n >= len(r.entries) || r.entries[n].candidate != cand:
 		return
 	}
-	cost, ok := r.pass.costIfFits(r.task, cand, r.queue)
-	if !ok {
+	cost, why := r.pass.costIfFits(r.task, cand, r.queue)
+	if why != accepted {
 		heap.Remove(r, n)
 		return
 	}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -132,6 +132,7 @@
 	restoredCrashes map[string]bool // addresses of workers in restored evidence
 	placements      placements      // see Backlog
 	passCounts      PassCounts
+	waits           waits
 	memory          passMemory
 	adjusting       adjusting
 	blockTasks      int             // see defaultBlockTasks
--- a/internal/scheduler/feasibility.go
+++ b/internal/scheduler/feasibility.go
@@ -149,15 +149,24 @@
 
 // fits reports whether a task may be started on the worker now.
 func (cand *candidate) fits(t *task, q *Queue, now time.Time) bool {
-	return (t.step.filler() || !cand.reserved) && cand.hasRoom(t, q, now)
+	return (t.step.filler() || !cand.reserved) && cand.refuses(t, q, now) == accepted
 }
 
-// hasRoom reports whether the worker has the free capacity for a task and may run it.
+// refuses returns why the worker may not run a task or lacks the free capacity for it.
 // Fillers need no free CPU.
-func (cand *candidate) hasRoom(t *task, q *Queue, now time.Time) bool {
+func (cand *candidate) refuses(t *task, q *Queue, now time.Time) refusal {
 	request := t.step.size
 	if t.step.filler() {
 		request.CPUMilli = 0
 	}
-	return request.FitsIn(cand.free) && cand.feasible(t, q, now)
+	switch {
+	case !request.FitsIn(cand.free):
+		return refusedRoom
+	case !cand.allows(t, q, now):
+		return refusedLabel
+	case !cand.feasible(t, q, now):
+		return refusedSpread
+	default:
+		return accepted
+	}
 }
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -53,6 +53,8 @@
 	advice     *advice
 	near       nearStep
 	noRoom     noRoom
+	// explainedAt is when it was last logged why tasks of the step wait.
+	explainedAt time.Time
 }
 
 // task is one task of a step.
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -18,7 +18,8 @@
 	c.memory.used = 0
 	pass := &pass{core: c, number: c.passCounts.Passes, now: now, pools: make(map[string][]*candidate), unplaced: make(map[requirements]unplaced)}
 	bestEffort := !c.late || now.Sub(c.bestEffortAt) >= planInterval
-	for _, r := range c.waitingSteps(bestEffort, now) {
+	ranks := c.waitingSteps(bestEffort, now)
+	for _, r := range ranks {
 		c.passCounts.Steps++
 		pass.placeStep(r)
 		pass.noteWithheld(r.step)
@@ -26,6 +27,7 @@
 	if bestEffort {
 		c.bestEffortAt = now
 		pass.placeCopies()
+		pass.observeWaits(ranks)
 	}
 }
 
@@ -91,6 +93,7 @@
 	reserved int
 	spare    map[string]*spare // by pool, see spareIn
 	held     int               // workers held for gangs
+	leftOut  map[*step]bool    // steps that were not tried, see unplaced
 }
 
 // unplaced is a request that no worker had room for.
@@ -159,6 +162,10 @@
 	required, cacheable := requirementsOf(s, q.Pool)
 	if failed, found := p.unplaced[required]; cacheable && found && failed.size.FitsIn(s.size) {
 		p.core.passCounts.NoRoom++
+		if p.leftOut == nil {
+			p.leftOut = make(map[*step]bool)
+		}
+		p.leftOut[s] = true
 		s.noRoom = noRoom{pass: p.number, starved: failed.starved, config: p.core.config}
 		return
 	}
--- a/internal/scheduler/ranking.go
+++ b/internal/scheduler/ranking.go
@@ -36,9 +36,9 @@
 	fillerMaxUse = 1.0
 )
 
-// cost scores a worker for a task; lower is better. It returns false if the task
+// cost scores a worker for a task; lower is better. It returns the reason if the task
 // must not run there.
-func (p *pass) cost(t *task, cand *candidate) (float64, bool) {
+func (p *pass) cost(t *task, cand *candidate) (float64, refusal) {
 	s, w := t.step, cand.worker
 	total := p.speedCost(s, w)
 	if rack := s.spec.GetDataRack(); rack != "" && rack != w.entry.Rack {
@@ -58,12 +58,12 @@
 	}
 	switch {
 	case s.filler():
-		cost, ok := p.fillerCost(s, cand)
-		return total + cost, ok
+		cost, why := p.fillerCost(s, cand)
+		return total + cost, why
 	case s.longRunning():
-		return total + cand.longRunningCost(s), true
+		return total + cand.longRunningCost(s), accepted
 	default:
-		return total + 1 - freeShare(cand) + p.core.hotRackCost(s, w), true
+		return total + 1 - freeShare(cand) + p.core.hotRackCost(s, w), accepted
 	}
 }
 
@@ -97,26 +97,30 @@
 
 // fillerCost scores a worker for a filler by the rise in utilization of the services
 // there and the utilization of the worker's CPUs.
-func (p *pass) fillerCost(s *step, cand *candidate) (float64, bool) {
+func (p *pass) fillerCost(s *step, cand *candidate) (float64, refusal) {
 	w := cand.worker
 	cpu := w.entry.Capacity.CPUMilli
 	use := share(cand.load.use+s.size.CPUMilli, cpu)
 	if use > fillerMaxUse && cand.load.use > 0 {
-		return 0, false
+		return 0, refusedUse
 	}
 	if p.core.disabled.ignoreInterference {
-		return use, true
+		return use, accepted
 	}
 	if cand.overTarget {
 		// Whatever the cause, more load makes it worse, and after half of
 		// HarmLimit all fillers there are stopped.
-		return 0, false
+		return 0, refusedOverTarget
 	}
 	rise, ok := cand.maxRise(s.image, share(s.size.CPUMilli, cpu))
 	cost := use + riseCost*rise*(1+marginCost*p.costs.margin)
-	if !ok && p.costs.starved {
+	switch {
+	case ok:
+		return cost, accepted
+	case p.costs.starved:
 		// The task starts where it slows services down least and is throttled there.
-		return cost + starvedCost, true
+		return cost + starvedCost, accepted
+	default:
+		return 0, refusedRise
 	}
-	return cost, ok
 }
