scheduler: a failed search no longer leaves out starved fillers

Callers saw accepted jobs of which nothing ran for most of a minute although workers had room (LOST).

Cause: a pass remembers the last request that no worker had room for, and leaves out later steps that need no less. A step of fillers that has had no attempt for 2 s is accepted by more workers than others, those with services that it slows down. The pass left it out all the same after a step that is not starved had found none. Under a steady arrival of fillers that is each pass, so such a step waited for as long as others arrived or waited before it.

The pass now remembers the two kinds of failures apart.

--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -16,7 +16,7 @@
 	c.contention.held, c.contention.keptMilli = 0, 0
 	c.passCounts.Passes++
 	c.memory.used = 0
-	pass := &pass{core: c, number: c.passCounts.Passes, now: now, pools: make(map[string][]*candidate), unplaced: make(map[requirements]unplaced)}
+	pass := &pass{core: c, number: c.passCounts.Passes, now: now, pools: make(map[string][]*candidate), unplaced: make(map[requirements]Resources)}
 	bestEffort := !c.late || now.Sub(c.bestEffortAt) >= planInterval
 	ranks := c.waitingSteps(bestEffort, now)
 	for _, r := range ranks {
@@ -87,7 +87,7 @@
 	pools  map[string][]*candidate
 	// unplaced holds, for each set of requirements, the last request that no
 	// worker had enough free capacity for.
-	unplaced map[requirements]unplaced
+	unplaced map[requirements]Resources
 	racks    map[string]*rackForecast
 	// reserved is the number of workers reserved for starving and for suspect tasks.
 	reserved int
@@ -96,19 +96,14 @@
 	leftOut  map[*step]bool    // steps that were not tried, see unplaced
 }
 
-// unplaced is a request that no worker had room for.
-type unplaced struct {
-	size    Resources
-	starved bool // of the step
-}
-
 // requirements are the properties that a task requires of a worker, apart from the
 // amount of resources.
 type requirements struct {
 	pool          string
 	filler        bool
 	isLongRunning bool
-	image         int // of a filler, otherwise zero
+	image         int  // of a filler, otherwise zero
+	starved       bool // see step.starved
 }
 
 // requirementsOf returns the requirements of a step, false if the step has others
@@ -140,6 +135,21 @@
 	return candidates
 }
 
+// leavesOut reports whether no worker had room in this pass for a request that is no larger
+// than that of a step. What failed for a step that is not starved tells nothing about one
+// that is, which more workers accept.
+func (p *pass) leavesOut(s *step, required requirements) bool {
+	for _, required.starved = range []bool{true, false} {
+		if size, found := p.unplaced[required]; found && size.FitsIn(s.size) {
+			return true
+		}
+		if s.filler() && s.starved(p.now) {
+			return false
+		}
+	}
+	return false
+}
+
 // placeStep places as many waiting tasks of a step as the free capacity allows.
 func (p *pass) placeStep(r rank) {
 	s := r.step
@@ -160,13 +170,13 @@
 		return
 	}
 	required, cacheable := requirementsOf(s, q.Pool)
-	if failed, found := p.unplaced[required]; cacheable && found && failed.size.FitsIn(s.size) {
+	if cacheable && p.leavesOut(s, required) {
 		p.core.passCounts.NoRoom++
 		if p.leftOut == nil {
 			p.leftOut = make(map[*step]bool)
 		}
 		p.leftOut[s] = true
-		s.noRoom = noRoom{pass: p.number, starved: failed.starved, config: p.core.config}
+		s.noRoom = noRoom{pass: p.number, starved: s.filler() && s.starved(p.now), config: p.core.config}
 		return
 	}
 	placed, complete := p.placeTasks(r, candidates, q)
@@ -174,7 +184,8 @@
 		p.core.contention.shortAt = p.now
 	}
 	if !complete && cacheable && p.held == 0 {
-		p.unplaced[required] = unplaced{s.size, s.noRoom.starved}
+		required.starved = s.noRoom.starved
+		p.unplaced[required] = s.size
 	}
 	if placed > 0 {
 		j := s.round.job
