scheduler: fillers start beside services that miss their targets for another cause

Callers could see accepted jobs of which nothing runs for as long as all services miss their targets (LOST), for example while the workers are slow.

Cause: a worker with a service over its target received no fillers, whatever the cause. The reason to refuse it is that fillers may be the cause, and they are stopped after half of the limit of harm; but where no filler runs and the service still misses its target, the refusal has no bound, and it may hold on all workers at once.

A service that is over its target in a measurement without fillers beside it counts as over by itself. Starved steps may then start on its worker, behind all others, until the fillers there are stopped after half of the limit as before; then it has to be measured without fillers again. Fillers are not slowed for such a service: that would not relieve it.

Evidence: TestFillersStartBesideServicesThatMissTheirTargetsAlone and TestNoFillerWaitsWhileThereIsRoom, 40 random histories in which services measure anything: a filler with room for twice what it needs, on workers less than half in use, starts within 3 s. TestHarmIsBoundedAfterOtherCauseEnds: fillers that were started so harm a service for less than 4 s on end once the other cause is gone.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -345,6 +345,9 @@
 	t, w := a.task, a.worker
 	j := a.job()
 	w.remove(a)
+	if t.step.filler() && w.fillerCPU == 0 {
+		w.fillersEndedAt = now
+	}
 	if t.step.filler() && !a.seenAt.IsZero() && w.services > 0 {
 		part := share(t.step.size.CPUMilli*int64(a.confirmedSpeed)/100, w.entry.Capacity.CPUMilli)
 		w.pastFillers = append(w.pastFillers, pastFiller{t.step.image, part, a.seenAt, now})
--- a/internal/scheduler/feasibility.go
+++ b/internal/scheduler/feasibility.go
@@ -15,8 +15,9 @@
 	load   load
 	// services holds one entry for each service image on the worker.
 	services []predicted
-	// overTarget is set if a service there misses its target now.
-	overTarget bool
+	// overTarget is set if a service there misses its target now, maybe because of fillers,
+	// and overAlone if one does whatever fillers do.
+	overTarget, overAlone bool
 	// reserved is set if the worker is reserved for a starving task that does not
 	// fit yet.
 	reserved bool
@@ -80,14 +81,15 @@
 	cand.free = cand.worker.free()
 	cand.load = loadOf(cand.worker, cand.load.fillers)
 	cand.afterShort = cand.free.Add(cand.load.short)
-	cand.services, cand.overTarget = cand.services[:0], false
+	cand.services, cand.overTarget, cand.overAlone = cand.services[:0], false, false
 	if cand.worker.services == 0 {
 		return
 	}
 	for _, a := range cand.worker.list {
 		if a.serving() {
 			cand.addService(a)
-			cand.overTarget = cand.overTarget || a.overrun.Missing()
+			cand.overTarget = cand.overTarget || a.overrun.Missing() && !a.overAlone
+			cand.overAlone = cand.overAlone || a.overrun.Missing() && a.overAlone
 		}
 	}
 }
--- a/internal/scheduler/interference.go
+++ b/internal/scheduler/interference.go
@@ -141,10 +141,26 @@
 		}
 		if settled || a.restored && !c.disabled.countFromMeasurement {
 			a.overrun.Observe(a.measured, a.step().spec.GetLatencyTargetMs(), c.sharedSince(a), now)
+			c.learnAlone(a, now)
 		}
 	}
 }
 
+// learnAlone notes whether a service misses its target although no filler ran beside it
+// in the time span of its newest measurement.
+func (c *Core) learnAlone(a *attempt, now time.Time) {
+	alone := a.worker.fillersEndedAt
+	if alone.Before(c.startedAt) {
+		alone = c.startedAt // fillers of an earlier owner may have ended just before
+	}
+	switch {
+	case !a.overrun.Missing():
+		a.overAlone = false
+	case a.worker.fillerCPU == 0 && now.Sub(alone) >= measureWindow:
+		a.overAlone = true
+	}
+}
+
 // sharedSince returns since when a service has served beside fillers.
 func (c *Core) sharedSince(a *attempt) time.Time {
 	since := a.progressAt
@@ -181,8 +197,8 @@
 		}
 	}
 	for _, a := range w.list {
-		if !a.serving() || a.stopReason != "" || a.seenAt.IsZero() {
-			continue
+		if !a.serving() || a.stopReason != "" || a.seenAt.IsZero() || a.overAlone {
+			continue // slower fillers would not relieve a service that is over its target by itself
 		}
 		slack := c.slack(a, fillers)
 		if a.measuredAt == now && a.relativeLatency() > nearTarget {
@@ -303,6 +319,10 @@
 		c.stop(f, "a service on its worker misses its target", now)
 	}
 	over.overrun.Restart()
+	for _, a := range w.list {
+		// With fillers to stop, it is open again whether they are the cause.
+		a.overAlone = a.overAlone && w.fillerCPU == 0
+	}
 }
 
 // speedUp raises the speed of one throttled filler as far as the slack of the
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -116,15 +116,18 @@
 	measured   int64     // see ActiveAttempt
 	measuredAt time.Time
 
-	reading        progressReading           // for the speed of its worker
-	speed          int                       // wanted speed of a filler in percent
-	speedSetAt     time.Time                 // when it was last changed
-	confirmedSpeed int                       // speed that the worker has confirmed
-	speedPending   bool                      // a throttle command is in flight
-	speedUnknown   bool                      // the newest throttle command was not answered
-	lateUntil      time.Time                 // until when an unanswered throttle command may be carried out
-	overrun        interference.Overrun      // of a service
-	load           interference.LoadEstimate // of a service
+	reading        progressReading      // for the speed of its worker
+	speed          int                  // wanted speed of a filler in percent
+	speedSetAt     time.Time            // when it was last changed
+	confirmedSpeed int                  // speed that the worker has confirmed
+	speedPending   bool                 // a throttle command is in flight
+	speedUnknown   bool                 // the newest throttle command was not answered
+	lateUntil      time.Time            // until when an unanswered throttle command may be carried out
+	overrun        interference.Overrun // of a service
+	// overAlone is set if a service missed its target when it was last measured without
+	// fillers beside it.
+	overAlone bool
+	load      interference.LoadEstimate // of a service
 }
 
 func (s *step) longRunning() bool { return s.spec.GetLasting() }
--- a/internal/scheduler/ranking.go
+++ b/internal/scheduler/ranking.go
@@ -27,6 +27,9 @@
 	// such workers behind all others.
 	fillerStarvation = 2 * time.Second
 	starvedCost      = 100
+	// overAloneCost puts workers with a service that misses its target without fillers
+	// beside it behind those that a starved step slows down.
+	overAloneCost = 200
 	// riseCost weighs the rise in a service's utilization against the utilization of
 	// a worker: a filler is placed on a fuller worker rather than on that of a
 	// service that it slows down.
@@ -107,7 +110,7 @@
 	if p.core.disabled.ignoreInterference {
 		return use, accepted
 	}
-	if cand.overTarget {
+	if cand.overTarget || cand.overAlone && !p.costs.starved {
 		// Whatever the cause, more load makes it worse, and after half of
 		// HarmLimit all fillers there are stopped.
 		return 0, refusedOverTarget
@@ -115,6 +118,9 @@
 	rise, ok := cand.maxRise(s.image, share(s.size.CPUMilli, cpu))
 	cost := use + riseCost*rise*(1+marginCost*p.costs.margin)
 	switch {
+	case cand.overAlone:
+		// A cause other than fillers may last. The task runs until they are stopped.
+		return cost + overAloneCost, accepted
 	case ok:
 		return cost, accepted
 	case p.costs.starved:
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -46,9 +46,11 @@
 	// fillersSince is since when the worker has had fillers without a break, zero if
 	// that is not known.
 	fillersSince time.Time
-	services     int          // services on the worker
-	shortUses    []shortUse   // one for each priority
-	pastFillers  []pastFiller // fillers that ended recently
+	// fillersEndedAt is when the last of the worker's fillers ended, zero if it has had none.
+	fillersEndedAt time.Time
+	services       int          // services on the worker
+	shortUses      []shortUse   // one for each priority
+	pastFillers    []pastFiller // fillers that ended recently
 
 	trials      int       // attempts of suspect tasks
 	newestStart time.Time // of the attempts placed there
