scheduler: failing tasks can't get most workers quarantined

Cause: a worker was quarantined after three failures in a row, for up to 8 s and again after each further failure, with no look at the others. Tasks that fail everywhere got all workers of a pool quarantined at once, so that sound jobs found none.

If half of a pool's workers are quarantined, no further one is for failures or stalls: most workers fail, so the tasks are at fault. A worker that refuses starts since it is unhealthy is quarantined as before.

TestWorkersThatFailAllTasksAreQuarantined: two of six workers that fail all tasks still are.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -359,7 +359,12 @@
 	}
 	c.markTaskChanged(t)
 	c.planDue = true
-	w.health.ended(a, reason, now)
+	switch reason {
+	case EndDone:
+		w.health = health{}
+	case EndFailed:
+		c.countAgainst(w, quarantineFailures, now)
+	}
 	c.noteEndForSpeed(a, reason, now)
 	if checkpoint != "" && t.step.spec.GetCheckpoints() && !a.behind() {
 		t.checkpoint, t.near.saved = checkpoint, float64(a.progress)/100
--- a/internal/scheduler/disabled.go
+++ b/internal/scheduler/disabled.go
@@ -29,6 +29,7 @@
 	ignoreOverdue        bool // fillers are evicted only upon a measurement
 	trustSpeeds          bool // throttle commands without an answer are not repeated
 	relieveTightest      bool // only the service with the least slack is relieved
+	quarantineAll        bool // all workers of a pool may be quarantined at once
 	noBacklog            bool // no backlog is reported, so that no job is refused
 	ignoreRacks          bool // a task never waits for room near its data or its gang
 	ignoreHotRacks       bool // tasks without data on a rack use its room like any other
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -14,6 +14,9 @@
 	// It doubles with each quarantine until a task succeeds there.
 	quarantineMin = 2 * time.Second
 	quarantineMax = 8 * time.Second
+	// maxQuarantined is the share of a pool's workers from which no further worker is
+	// quarantined for failures: if most workers fail, the tasks are at fault.
+	maxQuarantined = 0.5
 )
 
 // health judges a worker by the results of its attempts, not by the health that it
@@ -29,16 +32,28 @@
 // suspect reports whether the newest result on the worker was a failure.
 func (h *health) suspect() bool { return h.failures > 0 }
 
-func (h *health) ended(a *attempt, reason EndReason, now time.Time) {
-	switch reason {
-	case EndDone:
-		*h = health{}
-	case EndFailed:
-		h.failures++
-		if h.failures >= quarantineFailures {
-			h.quarantine(now)
+// countAgainst counts a failure against a worker, which is quarantined once a number of
+// them follow each other.
+func (c *Core) countAgainst(w *worker, limit int, now time.Time) {
+	w.health.failures++
+	if w.health.failures >= limit && c.mayQuarantine(w, now) {
+		w.health.quarantine(now)
+	}
+}
+
+// mayQuarantine reports whether few enough other workers of the pool are quarantined.
+func (c *Core) mayQuarantine(w *worker, now time.Time) bool {
+	all, quarantined := 0, 1
+	for _, other := range c.workerList {
+		if other.entry.Pool != w.entry.Pool || !other.listed || other.entry.Draining {
+			continue
+		}
+		all++
+		if other != w && other.health.quarantined(now) {
+			quarantined++
 		}
 	}
+	return c.disabled.quarantineAll || float64(quarantined) <= maxQuarantined*float64(all)
 }
 
 // refused handles a start that the worker refused because it is unhealthy.
@@ -51,11 +66,3 @@
 	h.pause = min(max(2*h.pause, quarantineMin), quarantineMax)
 	h.until = now.Add(h.pause)
 }
-
-// stalled handles a task that made no progress on the worker.
-func (h *health) stalled(now time.Time) {
-	h.failures++
-	if h.failures >= quarantineStalls {
-		h.quarantine(now)
-	}
-}
--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -84,7 +84,7 @@
 		"still_ms", now.Sub(a.progressAt).Milliseconds())
 	a.task.avoid = w.id
 	if !a.step().filler() {
-		w.health.stalled(now)
+		c.countAgainst(w, quarantineStalls, now)
 	}
 	c.stop(a, "it makes no progress", now)
 }
