scheduler: no starts for the capacity that a worker had before its restart

Cause: an owner learns of a restart from the answer to a hold, and the worker counted as usable from then on, with the capacity of the entry that the earlier process had written. Until the entry of the new process arrived (38 ms in a run of the soak without delays of the store; there a start was planned 12 ms and sent 15 ms after the answer, longer while the store is slow) starts were placed and sent for the capacity before the restart. An owner that takes over in between does the same with its first answer.

Fix: a worker receives starts only while its entry comes from the process that answers the holds. That holds at the placement and when the recorded start is sent, since both ask whether the worker is usable. Entries and answers without an incarnation are taken as before.

Evidence: TestStartsForCapacityBeforeRestart fails without it (up to 4,000 of 2,000 mCPU, by the same owner and after a takeover) and passes with it. TestCapacityHistoriesWithCrashes, new: 9 of 100 histories break without it, none of 100 in the test and none of 1,000 by hand with it. TestCapacityHistories breaks in none of 100.

The simulation now tells a new owner that it has read the entries, as an owner does after reading the list. Before, entries that were cut off from the moment of a takeover never became stale, and the histories could rely on a capacity that no owner would.

--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -29,6 +29,14 @@
 	sim.after(delay, sw.publish)
 }
 
+// reincarnate gives a worker another capacity while it restarts. No start may rely on the
+// one before: the answers to holds show the restart, so that the owner can wait for the
+// new entry.
+func (sw *simWorker) reincarnate(capacity Resources) {
+	sw.sim.log("worker %s comes back with %v", sw.id, capacity)
+	sw.capacity, sw.larger = capacity, nil
+}
+
 // publish passes the worker's entry to the owner once entries reach it.
 func (sw *simWorker) publish() {
 	sim := sw.sim
@@ -103,10 +111,46 @@
 	}
 }
 
+// Guards against starts that rely on the capacity of a worker's earlier incarnation: its
+// restart is known from its answers, its new entry has not arrived yet.
+func TestStartsForCapacityBeforeRestart(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		t.Run(fmt.Sprintf("takeover %v", takeover), func(t *testing.T) {
+			c := qt.New(t)
+			sim := newSimulation(1, 1)
+			sim.run(time.Second)
+			sw := sim.workers[0]
+			old := sw.entry()
+			sw.reincarnate(Resources{2000, 16000, 0})
+			sw.restart()
+			if takeover {
+				sw.listed = false
+				sim.takeOver()
+				sw.listed = true
+				sim.core.SetWorker(old, sim.now)
+			}
+			sim.submit(simJob(1, simStepSpec(8, 500)))
+			sim.run(3 * time.Second)
+			c.Check(sim.core.workers[sw.id].incarnation, qt.Equals, sw.incarnation)
+			c.Check(sim.violations, qt.HasLen, 0)
+			sw.publish()
+			sim.run(5 * time.Second)
+			c.Check(sim.violations, qt.HasLen, 0)
+			c.Check(sim.core.State(fmt.Sprintf("%016x", 1)), qt.Equals, pb.PublicState_PUBLIC_STATE_COMPLETED)
+		})
+	}
+}
+
 // Guards against starts beyond the capacity of workers whose capacity shrinks and
 // grows while commands are lost, workers restart, the store is slow, entries don't
 // reach the owner and owners are replaced.
-func TestCapacityHistories(t *testing.T) {
+func TestCapacityHistories(t *testing.T) { checkCapacityHistories(t, 0) }
+
+// Guards against starts beyond the capacity of workers that also come back from crashes
+// with another capacity, some time before their entries say so.
+func TestCapacityHistoriesWithCrashes(t *testing.T) { checkCapacityHistories(t, 25) }
+
+func checkCapacityHistories(t *testing.T, crashEvery int) {
 	seeds := 100
 	if testing.Short() {
 		seeds = 10
@@ -115,7 +159,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
-			sim := capacityHistory(uint64(seed))
+			sim := capacityHistory(uint64(seed), crashEvery)
 			c.Check(sim.violations, qt.HasLen, 0)
 			sim.logViolation(t)
 			for id, s := range sim.states() {
@@ -126,8 +170,9 @@
 }
 
 // capacityHistory simulates a random history in which the capacities of workers change,
-// and restores them at its end.
-func capacityHistory(seed uint64) *simulation {
+// and restores them at its end. If crashEvery is not zero, one of that many steps of
+// 100 ms crashes a worker, which comes back with another capacity.
+func capacityHistory(seed uint64, crashEvery int) *simulation {
 	sim := newSimulation(seed, 6)
 	sim.faults = networkFaults{loseReply: 0.03, late: 0.03, drop: 0.03}
 	sim.taskFor = func(r AttemptID) simTask {
@@ -141,6 +186,15 @@
 			sw := sim.workers[sim.rng.IntN(len(sim.workers))]
 			sw.resize(Resources{full.CPUMilli * part / 4, full.MemoryMiB * part / 4, 0}, time.Duration(sim.rng.IntN(int(simEntryDelay))))
 		}
+		if crashEvery > 0 && n%crashEvery == 0 {
+			sw := sim.workers[sim.rng.IntN(len(sim.workers))]
+			if !sim.now.Before(sw.downUntil) {
+				part := int64(1 + sim.rng.IntN(4))
+				sw.entryDelay = time.Duration(sim.rng.IntN(int(simEntryDelay)))
+				sw.crash(true)
+				sw.reincarnate(Resources{full.CPUMilli * part / 4, full.MemoryMiB * part / 4, 0})
+			}
+		}
 		if n%40 == 0 {
 			sim.commitDelay = time.Duration(sim.rng.IntN(4)) * time.Second
 		}
--- a/internal/scheduler/simulated_crash_test.go
+++ b/internal/scheduler/simulated_crash_test.go
@@ -39,7 +39,11 @@
 	}
 	sim.after(simDowntime, func() {
 		sw.startedAt = sim.now
-		sim.core.SetWorker(sw.entry(), sim.now)
+		if sw.entryDelay == 0 {
+			sw.publish()
+			return
+		}
+		sim.after(sw.entryDelay, sw.publish)
 	})
 }
 
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -117,6 +117,7 @@
 	clockRate     float64 // speed of its clock, 1 if exact
 	capacity      Resources
 	larger        []pastCapacity // before recent reductions
+	entryDelay    time.Duration  // between its return from a crash and its entry
 	active        map[AttemptID]*simAttempt
 	newestAttempt map[string]int
 	endedAt       map[int64]time.Time // by number of the end
@@ -226,6 +227,7 @@
 	for _, e := range sim.expiring {
 		sim.core.SetWorker(e.entry, sim.now)
 	}
+	sim.core.EntriesRead(sim.now, sim.now)
 	sim.core.Start(sim.now)
 }
 
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -132,10 +132,16 @@
 
 // usable reports whether the worker may receive new work.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && w.adopted && !w.clockUnknown && !w.entry.Draining && w.silentSince.IsZero() && !w.health.quarantined(now) &&
+	return w.listed && w.adopted && !w.clockUnknown && w.entryCurrent() && !w.entry.Draining && w.silentSince.IsZero() && !w.health.quarantined(now) &&
 		now.Sub(w.answeredAt) < maxAnswerAge
 }
 
+// entryCurrent reports whether the entry comes from the process that answers the holds.
+// A worker may restart with less capacity, of which an earlier entry says nothing.
+func (w *worker) entryCurrent() bool {
+	return w.entry.Incarnation == 0 || w.incarnation == 0 || w.entry.Incarnation == w.incarnation
+}
+
 // SetWorker adds or updates the entry of a worker.
 func (c *Core) SetWorker(e WorkerEntry, now time.Time) {
 	w := c.worker(e.ID)
