scheduler: no panic while a gang waits and no worker is usable

Callers saw the owner crash, and each owner after it: with remote_factor above 1, a placement pass with a waiting gang that prefers one rack panicked (index out of range) if no worker of its pool was usable. That is so in the first pass after each takeover, before a worker has answered, and whenever all workers of a pool are silent.

Cause: the forecast of the rack that has room first takes the rack of the first worker of each group, and the group of all workers may be empty.

Evidence: TestGangWaitsWithoutUsableWorkers panics before in both cases (takeover; all workers silent) and passes after.

An empty group has no rack to wait for, so that it is passed over and the gang waits for the next pass.

--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -103,6 +103,9 @@
 	t := s.tasks[0]
 	duration := p.core.expectedDuration(s)
 	for _, group := range gangGroups(s, candidates) {
+		if len(group) == 0 {
+			continue // no worker is usable
+		}
 		name := group[0].worker.entry.Rack
 		if len(group) == len(candidates) && name != group[len(group)-1].worker.entry.Rack {
 			continue // all workers together
