scheduler: waits of long-running tasks go on over takeovers

Cause: a long-running task goes ahead of short ones after 3 s, a new one after 8 s. Both waits counted from the step's readiness, which each new owner sets to its first placement pass, so that no wait outlived a takeover.

Fix: a new owner derives the waits of the tasks that could start at its takeover. One that was never placed has waited since its job was received or its round was due. One that was placed has waited its longest, since its end has no time in the record. A time of submission in the future counts as the longest wait. So each wait ends after its bound whatever the number of takeovers, but for the difference of two clocks. Nothing more is stored.

Urgent jobs: TestTakeoversUnderContention.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -350,7 +350,7 @@
 		w.pastFillers = append(w.pastFillers, pastFiller{t.step.image, part, a.seenAt, now})
 	}
 	t.attempts = slices.DeleteFunc(t.attempts, func(o *attempt) bool { return o == a })
-	t.endedAt = now
+	t.endedAt, t.waitedBefore = now, 0
 	if !t.assigned() && !t.done {
 		t.step.waiting++
 	}
--- a/internal/scheduler/contention_test.go
+++ b/internal/scheduler/contention_test.go
@@ -21,6 +21,7 @@
 	serviceShare, urgentShare float64
 	duration                  time.Duration
 	seed                      uint64
+	takeovers                 time.Duration // between two takeovers, zero for none
 }
 
 // contendedResult is the outcome of a contended load.
@@ -91,7 +92,12 @@
 	sim := site.sim
 	var r contendedResult
 	var wanted, working, used, samples float64
+	tookOver := sim.now
 	for sim.now.Sub(site.begin) < contendedWarmUp+l.duration {
+		if l.takeovers > 0 && sim.now.Sub(tookOver) >= l.takeovers {
+			tookOver = sim.now
+			sim.takeOver()
+		}
 		counted := sim.now.Sub(site.begin) >= contendedWarmUp
 		site.arrive(100 * time.Millisecond)
 		for range 10 {
--- a/internal/scheduler/disabled.go
+++ b/internal/scheduler/disabled.go
@@ -17,6 +17,7 @@
 	promoteNewEarly      bool // long-running tasks that never ran go ahead of short ones as early as others
 	noHeadroom           bool // new long-running tasks leave nothing free for urgent short ones
 	ignoreCrashes        bool // crashes of workers are no evidence against their tasks
+	forgetWaits          bool // the waits of tasks begin anew with each owner
 	forgetCrashes        bool // a new owner does not restore the evidence
 	noTrials             bool // suspect tasks are started beside others
 	ignoreEvacuations    bool // tasks are started in evacuated failure domains
--- a/internal/scheduler/headroom_test.go
+++ b/internal/scheduler/headroom_test.go
@@ -46,6 +46,29 @@
 	qt.Check(t, with > without+0.03, qt.IsTrue, qt.Commentf("%.3f with headroom, %.3f without", with, without))
 }
 
+// Guards against new services that wait longer with each takeover, and against new owners
+// that start them at the cost of urgent jobs.
+func TestTakeoversUnderContention(t *testing.T) {
+	skipLong(t)
+	load := contendedLoad{workers: 42, serviceShare: 0.85, urgentShare: 0.2, duration: 60 * time.Second, takeovers: 10 * time.Second}
+	const seeds = 4
+	var without, with, served float64
+	var longest time.Duration
+	for seed, r := range compareContention(load, seeds, disabledRules{forgetWaits: true}) {
+		before, after := r[0], r[1]
+		t.Logf("seed %d, waits begin anew: %v", seed, before)
+		t.Logf("seed %d, waits go on:      %v", seed, after)
+		without += before.earned() / seeds
+		with += after.earned() / seeds
+		longest = max(longest, before.longestWait)
+		served += (after.served - before.served) / seeds
+		qt.Check(t, after.longestWait < newLongRunningMaxWait+2*time.Second, qt.IsTrue)
+	}
+	qt.Check(t, longest > newLongRunningMaxWait+4*time.Second, qt.IsTrue)
+	qt.Check(t, served > 0, qt.IsTrue)
+	qt.Check(t, with > without-0.05, qt.IsTrue, qt.Commentf("%.3f if waits go on, %.3f if they begin anew", with, without))
+}
+
 // Guards against changes for deployments without contention: all starts and their
 // times are the same.
 func TestHeadroomWithPlentifulCapacity(t *testing.T) {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -75,9 +75,12 @@
 	// notBefore is the earliest time of the next attempt after a failure.
 	notBefore time.Time
 	endedAt   time.Time // of the newest attempt
-	evictions int       // by relieve, see maxEvictions
-	near      nearWait
-	copied    bool // a second attempt was started beside another
+	// waitedBefore is for how long the task had waited at the takeover, zero once this
+	// owner has seen an attempt at it end.
+	waitedBefore time.Duration
+	evictions    int // by relieve, see maxEvictions
+	near         nearWait
+	copied       bool // a second attempt was started beside another
 }
 
 // attempt is an execution of a task that may be active on a worker.
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -131,7 +131,7 @@
 	if !t.ranBefore() && !c.disabled.promoteNewEarly {
 		bound = newLongRunningMaxWait
 	}
-	return t.step.longRunning() && !t.done && !t.assigned() && now.Sub(since) >= bound
+	return t.step.longRunning() && !t.done && !t.assigned() && now.Sub(since)+c.waitedBefore(t) >= bound
 }
 
 // appendRanks appends the ranks of a step. A step with starving tasks has two: one for
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -70,7 +70,11 @@
 // before Start for each job of the intake.
 func (c *Core) Restore(sub *pb.Submission, record *JobRecord, now time.Time) {
 	j := c.addJob(sub, now)
-	if j == nil || record == nil || record.State == nil {
+	if j == nil {
+		return
+	}
+	defer j.restoreWaits(now)
+	if record == nil || record.State == nil {
 		return
 	}
 	stored := record.State
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -237,6 +237,7 @@
 	if sub.Queue == "" {
 		sub.Queue, sub.Service, sub.MaxAttempts, sub.Stretch, sub.TargetMs = "q", "s", 3, 2, 1000
 	}
+	sub.ReceivedMs = sim.now.UnixMilli()
 	sim.subs = append(sim.subs, sub)
 	sim.core.Submit(sub, sim.now)
 }
