scheduler: the wait of a gang behind short tasks goes on over takeovers

Callers saw a gang that prefers one rack wait longer with each change of the owner, behind short tasks that fill the site.

Cause: such a gang goes first within its priority after 3 s, counted from the first pass of the owner.

Fix: the wait before the takeover counts, derived as for long-running tasks.

--- a/internal/scheduler/locality.go
+++ b/internal/scheduler/locality.go
@@ -133,7 +133,7 @@
 // starvingGang reports whether a gang that prefers one rack has waited for gangMaxWait.
 func (c *Core) starvingGang(r rank, now time.Time) bool {
 	s := r.step
-	return s.spec.GetGang() && s.spec.GetSameRack() && !c.disabled.noGangHolds && now.Sub(s.readyAt) >= gangMaxWait
+	return s.spec.GetGang() && s.spec.GetSameRack() && !c.disabled.noGangHolds && now.Sub(s.readyAt)+c.waitedBefore(s.tasks[0]) >= gangMaxWait
 }
 
 // orderByGain orders the ranks at the indexes, within each priority.
