scheduler: a long-running task that ended before a takeover has waited

Callers saw a lasting task that ended or was lost while no owner reached its worker wait for 3 s more behind short ones once the next owner had learned of its end: over 9 s in all if no owner acts for 5.5 s (LOST).

Cause: the wait counted from the time at which the owner learned of the end, or from the takeover if the attempt was lost.

Fix: if the attempt of an earlier owner has ended when its worker first answers, the task counts as having waited its longest, as one that waits in the record does. When it ended is not known; such a task goes ahead at most 3 s too early, once for each takeover.

Evidence, TestLongRunningTaskEndedBeforeTakeover (ended, lost): before, all tasks run again after 9.5 s in both cases; after, after 5.6 s.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -351,6 +351,9 @@
 	}
 	t.attempts = slices.DeleteFunc(t.attempts, func(o *attempt) bool { return o == a })
 	t.endedAt, t.waitedBefore = now, 0
+	if a.restored && !w.adopted {
+		t.waitedBefore = restoredWait // it had ended by the takeover, or soon after
+	}
 	if !t.assigned() && !t.done {
 		t.step.waiting++
 	}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -75,8 +75,8 @@
 	// notBefore is the earliest time of the next attempt after a failure.
 	notBefore time.Time
 	endedAt   time.Time // of the newest attempt
-	// waitedBefore is for how long the task had waited at the takeover, zero once this
-	// owner has seen an attempt at it end.
+	// waitedBefore is for how long the task had waited when this owner learned that it
+	// waits, zero if an attempt has ended since.
 	waitedBefore time.Duration
 	evictions    int // by relieve, see maxEvictions
 	near         nearWait
--- a/internal/scheduler/long_running_takeover_test.go
+++ b/internal/scheduler/long_running_takeover_test.go
@@ -136,3 +136,44 @@
 		})
 	}
 }
+
+// Guards against a long-running task that ended while no owner reached its worker, and then waits
+// behind short ones from the time at which the next owner learns of its end.
+func TestLongRunningTaskEndedBeforeTakeover(t *testing.T) {
+	for _, how := range []string{"ended", "lost"} {
+		t.Run(how, func(t *testing.T) {
+			c := qt.New(t)
+			sim, _ := longRunningBesideShortTasks(1, true)
+			attempts, on := sim.longRunningAttempts()
+			c.Assert(attempts, qt.HasLen, 5)
+			for _, sw := range sim.workers {
+				sw.unreachable = true
+			}
+			sim.takeOver() // an owner that reaches no worker
+			since := sim.now
+			for i, r := range attempts {
+				if how == "ended" {
+					on[i].finish(r, EndStopped)
+				} else {
+					delete(on[i].active, r.attemptID)
+					sim.attemptEnded(r.attemptID, on[i].id, EndUnknown)
+				}
+			}
+			sim.run(5500 * time.Millisecond)
+			for _, sw := range sim.workers {
+				sw.unreachable = false
+			}
+			sim.takeOver()
+			for n := range 100 {
+				sim.submit(simJob(200+n, simStepSpec(3, 2000)))
+				sim.run(100 * time.Millisecond)
+				if running, _ := sim.longRunningAttempts(); len(running) == 5 {
+					break
+				}
+			}
+			t.Logf("all long-running tasks run again after %v", sim.now.Sub(since))
+			c.Check(sim.now.Sub(since) < 9*time.Second, qt.IsTrue)
+			c.Check(sim.violations, qt.HasLen, 0)
+		})
+	}
+}
