remote: responses are matched to calls by an id

An entry instance could take an offset of the log, a page of a stream, the instance list or a worker's report or refusal for that of the call before: a service that sends a response twice has the second one read as the response to the next call on a kept connection, since HTTP/1.1 matches them by order and these responses named no call.

Each call now has a Call-Id, which the log, the list and workers echo. A connection that has carried a call before is used only for responses with the id of the call, in a head that doesn't contain the beginning of another response; any other response is an error with an unknown outcome, or not run if nothing was written, and closes the connection. The first response on a connection needs no id, since nothing else can have left a response there; a peer that echoes no ids gets a connection for each call, as does, for a minute, one that has sent a response with another id. So no bound on the delay of the second response is needed, and peers that echo ids keep their connections.

The proxies of internal/processtest pass the id on, as they would any header of the platform's; without it the entry instances would use a connection for each call there.

--- a/internal/processtest/jobs_helpers_test.go
+++ b/internal/processtest/jobs_helpers_test.go
@@ -89,6 +89,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	out.Header().Set("Content-Type", response.Header.Get("Content-Type"))
+	out.Header()[wire.HeaderCallID] = response.Header.Values(wire.HeaderCallID)
 	out.WriteHeader(response.StatusCode)
 	_, _ = out.Write(responseBody)
 }
--- a/internal/processtest/proxies_test.go
+++ b/internal/processtest/proxies_test.go
@@ -133,6 +133,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Content-Type", response.Header.Get("Content-Type"))
+	w.Header()[wire.HeaderCallID] = response.Header.Values(wire.HeaderCallID)
 	w.WriteHeader(response.StatusCode)
 	_, _ = w.Write(p.rewrite(r, body)) // the process may have exited
 }
--- a/internal/remote/call.go
+++ b/internal/remote/call.go
@@ -5,8 +5,12 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,17 +29,32 @@
 	maxWorkerResponseBytes = 8 << 20
 	maxRefusalBytes        = 4 << 10 // of the body of a 4xx response
 	maxReadRecords         = 10000
+	// mismatchTimeout is how long calls have a connection each after a response to
+	// another call.
+	mismatchTimeout = time.Minute
 )
 
 // errNotModified means that the resource still has the entity tag of the request.
 var errNotModified = errors.New("not modified")
 
-// client makes JSON calls to one peer.
+// errOtherResponse means that a response may belong to another call.
+var errOtherResponse = errors.New("response does not have the id of the call")
+
+// client makes JSON calls to one peer. HTTP/1.1 matches responses to requests only by
+// their order, so a response that the peer sends twice is read as that to the next call
+// on the connection. Therefore a connection carries one call, or several if each
+// response echoes the id of its call.
 type client struct {
 	peer             string // name in error messages
 	base             string // URL without a final slash
 	maxResponseBytes int64
 	transport        *http.Transport
+	idPrefix         string // of the ids of calls, differs between clients
+	calls            atomic.Uint64
+	// noIDs is set while the responses of the peer have no ids of calls.
+	noIDs atomic.Bool
+	// mismatchAt is when a response was last not that to its call, in Unix nanoseconds.
+	mismatchAt atomic.Int64
 }
 
 // conditionalGet makes a GET conditional on the entity tag of an earlier response.
@@ -51,6 +70,7 @@
 		base:             strings.TrimRight(base, "/"),
 		maxResponseBytes: maxResponseBytes,
 		transport:        newTransport(maxPlatformConnections, 0),
+		idPrefix:         strconv.FormatUint(rand.Uint64(), 16) + "-",
 	}
 }
 
@@ -67,7 +87,12 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+defaultCallTimeout)
 	defer cancel()
 	call := &trackedCall{}
-	err := c.exchange(call.trace(ctx), method, path, in, out, cond)
+	defer func() {
+		if c.oneCallEach() {
+			c.transport.CloseIdleConnections()
+		}
+	}()
+	err := c.exchange(ctx, call, method, path, in, out, cond)
 	if err == nil || errors.Is(err, errNotModified) {
 		call.end()
 		return err
@@ -89,19 +114,25 @@
 }
 
 // exchange makes one HTTP exchange. A 4xx response becomes a *RefusedError.
-func (c *client) exchange(ctx context.Context, method, path string, in, out any, cond *conditionalGet) error {
-	req, err := c.newRequest(ctx, method, path, in)
+func (c *client) exchange(ctx context.Context, call *trackedCall, method, path string, in, out any, cond *conditionalGet) error {
+	req, err := c.newRequest(call.trace(ctx), method, path, in)
 	if err != nil {
 		return err
 	}
 	if cond != nil && cond.etag != "" {
 		req.Header.Set("If-None-Match", cond.etag)
 	}
+	id := c.idPrefix + strconv.FormatUint(c.calls.Add(1), 10)
+	req.Header.Set(wire.HeaderCallID, id)
+	req.Close = c.oneCallEach()
 	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := c.checkResponse(resp, id, call); err != nil {
+		return err
+	}
 	if cond != nil {
 		cond.header = resp.Header
 		if resp.StatusCode == http.StatusNotModified && cond.etag != "" {
@@ -131,6 +162,39 @@
 	return errors.Wrap(json.Unmarshal(body, out), "decode response")
 }
 
+// checkResponse returns an error if a response may be, or contain a part of, that to
+// another call. The first response on a connection needs no id.
+func (c *client) checkResponse(resp *http.Response, id string, call *trackedCall) error {
+	ids := resp.Header.Values(wire.HeaderCallID)
+	c.noIDs.Store(len(ids) == 0)
+	echoed := len(ids) == 1 && ids[0] == id
+	if call.first() && (echoed || len(ids) == 0) || echoed && !isSpliced(resp) {
+		return nil
+	}
+	c.mismatchAt.Store(time.Now().UnixNano())
+	return errOtherResponse
+}
+
+// oneCallEach reports whether calls have a connection each.
+func (c *client) oneCallEach() bool {
+	return c.noIDs.Load() || time.Since(time.Unix(0, c.mismatchAt.Load())) < mismatchTimeout
+}
+
+// isSpliced reports whether the head of a response contains the beginning of another
+// one: the end of the earlier one is missing, so both are parsed as one.
+func isSpliced(resp *http.Response) bool {
+	const version = "HTTP/1."
+	if strings.Contains(resp.Status, version) {
+		return true
+	}
+	for _, values := range resp.Header {
+		if slices.ContainsFunc(values, func(v string) bool { return strings.Contains(v, version) }) {
+			return true
+		}
+	}
+	return false
+}
+
 // newRequest builds a request with in as its JSON body. It sets no GetBody, so
 // net/http does not retry a POST.
 func (c *client) newRequest(ctx context.Context, method, path string, in any) (*http.Request, error) {
--- a/internal/remote/http_test.go
+++ b/internal/remote/http_test.go
@@ -291,6 +291,41 @@
 	c.Assert(string(batch.Records[0].Data), qt.Equals, "a")
 }
 
+// Guards against an append that returns the offset of another one, at a log that sends
+// responses a second time, late or in part.
+func TestAppendsAtLogThatRepeatsResponses(t *testing.T) {
+	c := qt.New(t)
+	const appends = 300
+	site := startSite(t, nil)
+	log := remote.NewHTTPLog(site.LogURL())
+	ctx := context.Background()
+	c.Assert(site.SetFaults(standin.NameLog, standin.Faults{Twice: true, TwiceLateMS: 5}), qt.IsNil)
+	offsets := make(map[int64]string)
+	notRun := make(map[string]bool)
+	for n := range appends {
+		record := strconv.Itoa(n)
+		offset, err := log.Append(ctx, "config", [][]byte{[]byte(record)})
+		if err == nil {
+			offsets[offset] = record
+			continue
+		}
+		var e *errs.Error
+		c.Assert(errors.As(err, &e), qt.IsTrue)
+		notRun[record] = e.Outcome == pb.Outcome_OUTCOME_NOT_RUN
+	}
+	t.Logf("%d of %d appends failed", len(notRun), appends)
+	c.Assert(len(offsets) > appends*9/10, qt.IsTrue)
+	c.Assert(site.ClearFaults(standin.NameLog), qt.IsNil)
+	batch, err := remote.NewHTTPLog(site.LogURL()).Read(ctx, "config", 0, appends, 0)
+	c.Assert(err, qt.IsNil)
+	for offset, record := range offsets {
+		c.Check(string(batch.Records[offset].Data), qt.Equals, record, qt.Commentf("offset %d", offset))
+	}
+	for _, record := range batch.Records {
+		c.Check(notRun[string(record.Data)], qt.IsFalse, qt.Commentf("record %s", record.Data))
+	}
+}
+
 // Guards against calls to the platform that reuse connections that went silent:
 // several are open, and the first call after the failure must succeed.
 func TestCallsCloseSilentConnections(t *testing.T) {
--- a/internal/remote/target.go
+++ b/internal/remote/target.go
@@ -214,6 +214,13 @@
 	}
 }
 
+// first reports whether the call is the first on its connection.
+func (c *trackedCall) first() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.conn != nil && c.callNumber == 1
+}
+
 // abort closes the call's connection and reports whether a byte of the request
 // may have been sent.
 func (c *trackedCall) abort() bool {
--- a/internal/remote/wire/wire.go
+++ b/internal/remote/wire/wire.go
@@ -9,6 +9,10 @@
 	HeaderNotRun         = "Not-Run"         // "true" if the target did not run the request
 )
 
+// HeaderCallID carries the id of a call to the log, the list or a worker. Only after a
+// response that echoes it does the client use a connection again.
+const HeaderCallID = "Call-Id"
+
 // HeaderAsOf carries the as_of_ms of an instance list in a not-modified response.
 const HeaderAsOf = "As-Of-Ms"
 
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -195,6 +195,9 @@
 		}
 		s.sleep(time.Duration(f.SlowMS) * time.Millisecond)
 		resp := call(r, f)
+		if id := r.Header.Get(wire.HeaderCallID); id != "" {
+			resp.header.Set(wire.HeaderCallID, id)
+		}
 		s.sleep(time.Duration(f.LateMS) * time.Millisecond)
 		loopback.Serve(w, r, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { s.send(w, resp, f) }), repetition)
 	}).Methods(method)
