standin: read the clock of a worker's tasks under its lock

The tests of the entry programs reported at times, on a busy machine, "G2: attempts overlap or repeat" for jobs of 100 and 150 ms (TestLogDownAndWorkerUnreachable, TestJobsThatFitNowhere, TestJobStartResponseLost), although no attempt had overlapped.

Cause: the usage sampler took the time of its tick, and the history its time of the call, before they had the worker's lock. If they then waited, or the tick was old, the tasks were advanced to a time in the past: their clock was moved back, and a short task was recorded as ended before it had started. To the check of G2 its lock was released before it was acquired.

Both now read the clock once they have the lock, so that the times of one worker's tasks never go back.

--- a/internal/standin/running.go
+++ b/internal/standin/running.go
@@ -203,9 +203,9 @@
 	defer ticker.Stop()
 	for {
 		select {
-		case now := <-ticker.C:
+		case <-ticker.C:
 			for _, w := range s.workers {
-				w.sample(now)
+				w.sample()
 			}
 		case <-s.stop:
 			return
@@ -336,11 +336,10 @@
 // and the number of operations that were dropped at its limit. Attempts that still
 // run have no end.
 func (s *RunningSite) History() ([]history.Operation, int64) {
-	now := time.Now()
 	var running []history.Operation
 	for name, w := range s.workers {
 		w.mu.Lock()
-		w.advance(now)
+		w.advance(time.Now())
 		for _, t := range w.tasks {
 			if t.state == remote.TaskRunning {
 				running = append(running, t.operation(name))
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -65,7 +65,8 @@
 }
 
 // advance updates all tasks to now and removes those that ended longer ago than the
-// retention. The caller holds mu.
+// retention. The caller holds mu, and reads now while it does: an earlier time would
+// move the clock of the tasks back.
 func (w *worker) advance(now time.Time) {
 	for ref, t := range w.tasks {
 		w.advanceTask(t, now)
@@ -91,10 +92,11 @@
 	}
 }
 
-// sample records the usage at now.
-func (w *worker) sample(now time.Time) {
+// sample records the present usage.
+func (w *worker) sample() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	now := time.Now() // not before the time of the newest advance
 	w.advance(now)
 	s := usageSample{at: now, tasks: make(map[wire.TaskRef]wire.Resources)}
 	for ref, t := range w.tasks {
