standin: return an attempt that ends while the history is read once

A check of the history could report "attempts overlap or repeat" and "attempt 1 ran 2 times" for an attempt that ran once, if tasks still ran when the history was read, as in TestJobsThatFitNowhere.

Cause: the running attempts were collected worker by worker, and the ended ones were read after that without any lock. An attempt that ended in between was in both.

The history keeps the locks of all workers, taken in the order of their names, until the ended attempts are read.

--- a/internal/standin/history_test.go
+++ b/internal/standin/history_test.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -85,3 +86,26 @@
 	}()
 	return done
 }
+
+// Guards against an attempt that is returned twice, as running and as ended, because it
+// ends while the history is read.
+func TestAttemptThatEndsWhileHistoryIsRead(t *testing.T) {
+	c := qt.New(t)
+	site := startWorkers(c)
+	first, second := site.workers["north-w01"], site.workers["north-w02"]
+	for n := range 10 { // the history may visit the workers in any order
+		first.mu.Lock()
+		first.startShort(fmt.Sprintf("job %d", n))
+		first.mu.Unlock()
+		second.mu.Lock()
+		var operations []history.Operation
+		read := startReader(site, func(site *RunningSite) { operations, _ = site.History() })
+		ended := startReader(site, func(*RunningSite) { first.awaitEnd() })
+		time.Sleep(shortRunTime + 2*sampleInterval)
+		second.mu.Unlock()
+		<-read
+		<-ended
+		c.Check(operations, qt.HasLen, n+1)
+		checkHistory(c, operations)
+	}
+}
--- a/internal/standin/running.go
+++ b/internal/standin/running.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -337,15 +339,18 @@
 // run have no end.
 func (s *RunningSite) History() ([]history.Operation, int64) {
 	var running []history.Operation
-	for name, w := range s.workers {
+	for _, name := range slices.Sorted(maps.Keys(s.workers)) {
+		w := s.workers[name]
 		w.mu.Lock()
+		// Until the ended attempts are read: one that ends meanwhile would be
+		// returned twice.
+		defer w.mu.Unlock()
 		w.advance(time.Now())
 		for _, t := range w.tasks {
 			if t.state == remote.TaskRunning {
 				running = append(running, t.operation(name))
 			}
 		}
-		w.mu.Unlock()
 	}
 	operations, dropped := s.state.history.all()
 	return append(operations, running...), dropped
