processtest: no task completes on the worker that is cut off and removed

TestWorkerRemovedFromList reported "G3: 2 attempts ended as done" at times on a busy machine.

Cause: the test stalls the connections to a worker and removes it from the list while tasks of 5 s with leases of 2 s run there. If it got that far only 3 s after a task had started, the task completed before its lease expired. No instance could learn of that end: the worker could not be reached, and was not listed any more. So the job ran again, as the design says for a worker that is gone and whose leases have expired. That is no evicted work that resumes twice.

The test now slows the tasks there down, at the worker itself and after the stall, so that they can't complete before their leases expire. It also checks that none did.

--- a/internal/processtest/jobs_faults_test.go
+++ b/internal/processtest/jobs_faults_test.go
@@ -346,11 +346,11 @@
 	j.checkJobs(8)
 }
 
-// Guards G2 against a worker that is cut off and removed from the instance list: its
-// tasks may run on other workers only after their leases have expired.
+// Guards G2 and G3 against a worker that is cut off and removed from the instance list:
+// its tasks may run on other workers only after their leases have expired.
 func TestWorkerRemovedFromList(t *testing.T) {
 	t.Parallel()
-	j := newJobHarness(t, 107, 3, 4000, []standin.Workload{{Name: "long", RunMS: 5000}})
+	j := newJobHarness(t, 107, 3, 4000, []standin.Workload{{Name: "long", RunMS: 9000}})
 	j.declareJob("long", 1500, false)
 	j.awaitOwners(j.entries...)
 	var ids []string
@@ -363,11 +363,18 @@
 	}
 	limits := j.limits()
 	j.setWorkerMode(loopback.Stall, worker)
+	// A task that completed there now would run again, since no instance could learn
+	// of its end.
+	slowed := j.slowTasks(worker)
+	j.Assert(slowed, qt.Contains, ids[0])
 	j.platform.Remove(worker)
 	j.await("second attempt on another worker", func() bool { return len(j.attempts(ids[0])) > 1 })
 	// The stalled proxies now deliver delayed calls and responses.
 	j.setWorkerMode(loopback.Forward, worker)
 	j.awaitDone(ids)
+	for _, id := range slowed {
+		j.Check(j.attempts(id)[0].Outcome, qt.Equals, history.OutcomeRan, qt.Commentf("%s completed on the removed worker", id))
+	}
 	j.Check(history.CheckCapacity(j.history(), limits).Violations, qt.HasLen, 0)
 	j.checkJobs(len(ids))
 }
--- a/internal/processtest/jobs_helpers_test.go
+++ b/internal/processtest/jobs_helpers_test.go
@@ -18,6 +18,7 @@
 	"gooseberryreel/internal/load"
 	"gooseberryreel/internal/loopback"
 	"gooseberryreel/internal/pb"
+	"gooseberryreel/internal/remote"
 	"gooseberryreel/internal/remote/wire"
 	"gooseberryreel/internal/standin"
 )
@@ -160,6 +161,23 @@
 	}
 }
 
+// slowTasks slows the running tasks of a worker down, so that they don't complete
+// within a lease, and returns their jobs. It reaches the worker in every mode.
+func (j *jobHarness) slowTasks(name string) (slowed []string) {
+	j.Helper()
+	ctx := context.Background()
+	worker := remote.NewHTTPWorker(name, j.workers[name].workerAddress)
+	status, err := worker.Status(ctx)
+	j.Assert(err, qt.IsNil)
+	for _, task := range status.Tasks {
+		if task.State == remote.TaskRunning {
+			j.Assert(worker.Throttle(ctx, task.Ref, 1), qt.IsNil)
+			slowed = append(slowed, task.Ref.Job)
+		}
+	}
+	return slowed
+}
+
 // declareJob publishes a batch job that runs the workload of the same name. It is
 // checkpointable unless it is urgent.
 func (j *jobHarness) declareJob(name string, cpuMilli int64, urgent bool) {
