--- a/internal/standin/running.go
+++ b/internal/standin/running.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -203,9 +205,9 @@
 	defer ticker.Stop()
 	for {
 		select {
-		case now := <-ticker.C:
+		case <-ticker.C:
 			for _, w := range s.workers {
-				w.sample(now)
+				w.sample()
 			}
 		case <-s.stop:
 			return
@@ -336,17 +338,19 @@
 // and the number of operations that were dropped at its limit. Attempts that still
 // run have no end.
 func (s *RunningSite) History() ([]history.Operation, int64) {
-	now := time.Now()
 	var running []history.Operation
-	for name, w := range s.workers {
+	for _, name := range slices.Sorted(maps.Keys(s.workers)) {
+		w := s.workers[name]
 		w.mu.Lock()
-		w.advance(now)
+		// Until the ended attempts are read: one that ends meanwhile would be
+		// returned twice.
+		defer w.mu.Unlock()
+		w.advance(time.Now())
 		for _, t := range w.tasks {
 			if t.state == remote.TaskRunning {
 				running = append(running, t.operation(name))
 			}
 		}
-		w.mu.Unlock()
 	}
 	operations, dropped := s.state.history.all()
 	return append(operations, running...), dropped
