scheduler: the share of quarantined workers is one of those that could receive work

Found by the review of the limit on quarantines: it counted all listed workers of a pool, also evacuated and silent ones, so that with half of a pool away tasks that fail everywhere still got all others quarantined.

--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -41,11 +41,12 @@
 	}
 }
 
-// mayQuarantine reports whether few enough other workers of the pool are quarantined.
+// mayQuarantine reports whether few enough other workers of the pool are quarantined, of
+// those that could receive work otherwise.
 func (c *Core) mayQuarantine(w *worker, now time.Time) bool {
 	all, quarantined := 0, 1
 	for _, other := range c.workerList {
-		if other.entry.Pool != w.entry.Pool || !other.listed || other.entry.Draining {
+		if other.entry.Pool != w.entry.Pool || !other.reachable(now) || c.evacuated(other) {
 			continue
 		}
 		all++
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -134,7 +134,12 @@
 
 // usable reports whether the worker may receive new work.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && w.adopted && !w.clockUnknown && w.entryCurrent() && !w.entry.Draining && w.silentSince.IsZero() && !w.health.quarantined(now) &&
+	return w.reachable(now) && !w.health.quarantined(now)
+}
+
+// reachable reports whether the worker could receive new work if it were not quarantined.
+func (w *worker) reachable(now time.Time) bool {
+	return w.listed && w.adopted && !w.clockUnknown && w.entryCurrent() && !w.entry.Draining && w.silentSince.IsZero() &&
 		now.Sub(w.answeredAt) < maxAnswerAge
 }
 
