scheduler: no worker is kept free for a suspect filler that it refuses

Found by review, with failing tests: a filler needs no free CPU, so the worker that was kept free for a suspect one could be one that refuses it for its load in each pass. The filler never started beside traffic that leaves no other worker without young attempts (TestSuspectFillerStartsBesideTraffic), and a pool's only worker received nothing else (TestSuspectFillerLeavesWorkerInUse). Both failed before, for 20 s, and pass now: a worker whose cost refuses the task is not kept.

--- a/internal/scheduler/trial.go
+++ b/internal/scheduler/trial.go
@@ -69,6 +69,9 @@
 		if cand.reserved || cand.reservedForTrial || cand.worker.trying(p.now) || !cand.fits(t, q, p.now) {
 			continue
 		}
+		if _, why := p.cost(t, cand); why != accepted {
+			continue // it would refuse the task once it is settled, too
+		}
 		if longest == nil || cand.worker.newestStart.Before(longest.worker.newestStart) {
 			longest = cand
 		}
