scheduler: a filler is not slowed to a standstill

Found by review, with a failing test: the last active task of a step is slowed rather than moved, to 0 % where the model expects much harm. It then did nothing for good, although it counted as at work, and its estimate was never corrected, since nothing is measured beside a filler that stands still. TestPausedFillerMovesToIdleWorker: not done after 60 s before; done now.

If the service misses its target all the same, the fillers are stopped after half of the limit of harm as before.

--- a/internal/scheduler/interference.go
+++ b/internal/scheduler/interference.go
@@ -289,7 +289,8 @@
 	percent := 0
 	if !worst.evictable() {
 		percent = int(float64(worst.speed)*(1+slack/most)) / speedStepPercent * speedStepPercent
-		percent = max(min(percent, worst.speed-speedStepPercent), 0)
+		// At a standstill it would never be done, nor show whether it is the cause.
+		percent = max(min(percent, worst.speed-speedStepPercent), speedStepPercent)
 	}
 	c.addLogEntry("filler slowed", worst.job().sub.GetRequestId(), "run", worst.attemptID.String(), "worker", w.id, "percent", percent,
 		"moved", worst.evictable(), "service", over.attemptID.String(), "latency_ms", over.measured, "target_ms", over.step().spec.GetLatencyTargetMs(),
