scheduler: an overrun without fillers doesn't stop those that start

Found by review: the time for which a service had missed its target before any filler ran counted against the first filler, which was stopped up to 20 ms after its start; its step then waited for 2 s again. An overrun now begins anew with the first filler on a worker, as the next measurement would have it.

TestOverrunWithoutFillersDoesNotEvict: the shortest attempt lasted 20 ms before, at least 1 s after.

--- a/internal/scheduler/filler_waits_test.go
+++ b/internal/scheduler/filler_waits_test.go
@@ -190,3 +190,34 @@
 		})
 	}
 }
+
+// Guards against fillers that are stopped right after their start beside a service that
+// missed its target before, for the time without them.
+func TestOverrunWithoutFillersDoesNotEvict(t *testing.T) {
+	sim := newSimulation(1, 1)
+	sim.taskFor = func(r AttemptID) simTask {
+		if imageOf(r) < 100 {
+			return simTask{longRunning: true, latencyMS: 2 * harmTargetMS}
+		}
+		return simTask{work: time.Minute}
+	}
+	service := simStepSpec(1, 1600)
+	service.Lasting, service.LatencyTargetMs, service.Image = true, harmTargetMS, "service"
+	sim.submit(simJob(1, service))
+	started := make(map[AttemptID]time.Time)
+	sim.onStart = func(id AttemptID, _ *simWorker) { started[id] = sim.now }
+	shortest := time.Minute
+	sim.onEnd = func(id AttemptID, _ string, _ EndReason) { shortest = min(shortest, sim.now.Sub(started[id])) }
+	for n := range 20 {
+		sim.run(time.Duration(1000+170*n) * time.Millisecond) // any phase of the measurements
+		filler := simStepSpec(1, 1000)
+		filler.Filler, filler.Checkpoints, filler.Image = true, true, "filler"
+		sub := simJob(100+n, filler)
+		sim.submit(sub)
+		sim.run(5 * time.Second)
+		sim.cancel(sub.GetId())
+		sim.run(time.Second)
+	}
+	qt.Check(t, len(started) > 20, qt.IsTrue)
+	qt.Check(t, shortest >= time.Second, qt.IsTrue, qt.Commentf("%v", shortest))
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -96,6 +96,9 @@
 	if s.filler() {
 		if w.fillerCPU == 0 {
 			w.fillersSince = w.newestStart
+			for _, a := range w.list {
+				a.overrun.Restart() // what came before is not due to fillers
+			}
 		}
 		w.fillerCPU += size.CPUMilli
 		size.CPUMilli = 0
