jobs: a withdrawn assignment keeps its capacity until a later record

Cause: an assignment that is recorded, but withdrawn before its start was sent (a cancellation, a worker that became unavailable, a refused start), released its capacity at once. Other jobs were started there before the withdrawal was recorded, or while the log was down. If the owner then died, the next owner found the assignment recorded. It can't tell whether the start was sent, so it sends it again before it stops the attempt.

Evidence: TestWithdrawnAssignmentKeepsCapacity failed before with "w0 holds {CPUMilli:5500 ...}" and passes now.

The capacity of a withdrawn assignment that may be recorded stays reserved until a later record of its job is read back, which any next owner reads as well.

--- a/internal/jobs/attempt.go
+++ b/internal/jobs/attempt.go
@@ -82,7 +82,7 @@
 // unassign requeues the job of an attempt that was certainly not started. If a
 // cancellation was requested, the job ends instead.
 func (c *Core) unassign(j *job, reason string, now time.Time) {
-	c.release(j)
+	c.withdraw(j)
 	j.rec.Worker = ""
 	j.attempt = newAttempt()
 	if j.rec.CancelRequested {
@@ -99,7 +99,7 @@
 	a := &j.attempt
 	if !a.sent {
 		if j.rec.CancelRequested {
-			c.release(j)
+			c.withdraw(j)
 			c.end(j, pb.JobState_JOB_STATE_CANCELLED, "cancelled before the start", now)
 		} else {
 			c.unassign(j, a.evict, now)
@@ -387,3 +387,39 @@
 	}
 	c.planDue = true
 }
+
+// unsentAttempt is an assignment that was withdrawn before its start was sent.
+type unsentAttempt struct {
+	worker  string
+	attempt int32
+	needs   remote.Resources
+}
+
+// withdraw releases the capacity of an attempt that was certainly not started: at
+// once if its assignment can't be recorded, else once a later record is read back.
+func (c *Core) withdraw(j *job) {
+	if j.recording || c.assignmentRecorded(j) {
+		c.unsent[j.rec.Id] = append(c.unsent[j.rec.Id], unsentAttempt{
+			worker: j.rec.Worker, attempt: j.rec.Attempt, needs: remote.ResourcesFrom(j.rec.Needs),
+		})
+	}
+	c.release(j)
+}
+
+// forgetUnsent forgets the withdrawn assignments that a record of their job replaces.
+func (c *Core) forgetUnsent(rec *pb.Job) {
+	attempts, known := c.unsent[rec.Id]
+	if !known {
+		return
+	}
+	placed := newJob(rec).placed()
+	attempts = slices.DeleteFunc(attempts, func(a unsentAttempt) bool {
+		return a.attempt < rec.Attempt || a.attempt == rec.Attempt && !(placed && a.worker == rec.Worker)
+	})
+	if len(attempts) > 0 {
+		c.unsent[rec.Id] = attempts
+		return
+	}
+	delete(c.unsent, rec.Id)
+	c.planDue = true
+}
--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -147,8 +147,12 @@
 	// unrecordedEnds holds the newest ended attempt of each job without a record,
 	// until all workers have sent a status.
 	unrecordedEnds map[string]endedAttempt
-	peaks          map[string]*peak
-	teamQueued     map[string]int
+	// unsent holds, by job, the assignments that were withdrawn before their start was
+	// sent and that the next owner may still find recorded. It would start them, so
+	// they use capacity until a later record of the job is read back.
+	unsent     map[string][]unsentAttempt
+	peaks      map[string]*peak
+	teamQueued map[string]int
 
 	estimator  *interference.Estimator
 	estimates  map[estimateKey]float64 // cached during one pass
@@ -200,6 +204,7 @@
 	c.workerOrder = nil
 	c.awaitingStatus = make(map[string]bool)
 	c.unrecordedEnds = make(map[string]endedAttempt)
+	c.unsent = make(map[string][]unsentAttempt)
 	c.teamQueued = make(map[string]int)
 	c.targetLoad = make(map[string]targetLoad)
 	c.heldSince = make(map[string]time.Time)
--- a/internal/jobs/core_test.go
+++ b/internal/jobs/core_test.go
@@ -253,3 +253,38 @@
 	c.Assert(reply.Failure, qt.IsNotNil)
 	c.Assert(reply.Failure.Status, qt.Equals, 410)
 }
+
+// Guards against an overloaded worker after a takeover: an assignment that was withdrawn
+// before its start is started by the next owner if that reads no later record of it, so
+// its capacity must not be given to other jobs before.
+func TestWithdrawnAssignmentKeepsCapacity(t *testing.T) {
+	c := qt.New(t)
+	s := newOwnedHarness(1)
+	s.submit("withdrawn", "large")
+	s.append()
+	s.readStream() // accepted
+	s.advance(300 * time.Millisecond)
+	s.tick() // assigned
+	c.Assert(s.owner.Get("withdrawn").Job.State, qt.Equals, pb.JobState_JOB_STATE_STARTING)
+	s.owner.Cancel("withdrawn", s.now)
+	s.collectOutput()
+	s.append()
+	s.readStream() // the assignment; the cancellation is not recorded
+	s.appends = nil
+	s.logDown = true
+	for n := range 2 {
+		s.submit(fmt.Sprintf("urgent %d", n), "alert")
+	}
+	for range 4 {
+		s.advance(250 * time.Millisecond)
+		s.updateView(true)
+		s.tick()
+		for len(s.calls) > 0 {
+			s.deliver(0, false, false)
+		}
+	}
+	s.logDown = false
+	s.takeOver()
+	s.runFaultFree(4 * time.Second)
+	c.Check(s.violations, qt.HasLen, 0)
+}
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -194,6 +194,7 @@
 		return
 	}
 	j.recording = false
+	c.forgetUnsent(rec)
 	c.toAdvance[rec.Id] = j
 	c.out.Updates = append(c.out.Updates, JobUpdate{Job: cloneJob(rec), Durable: true})
 	if terminal(rec.State) && !j.dirty {
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -166,6 +166,14 @@
 	for _, id := range sortedKeys(w.jobs) {
 		p.Tasks = append(p.Tasks, c.placementTask(w.jobs[id], now))
 	}
+	for id, attempts := range c.unsent {
+		for _, a := range attempts {
+			if a.worker == name {
+				ref := remote.TaskRef{Job: id, Attempt: int(a.attempt)}
+				p.Tasks = append(p.Tasks, placement.Task{Ref: ref, Needs: a.needs, Stopping: true, Unevictable: true})
+			}
+		}
+	}
 	for ref, o := range w.orphans {
 		p.Tasks = append(p.Tasks, placement.Task{Ref: ref, Needs: o.usage, Stopping: true, Unevictable: true})
 	}
