--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -166,8 +166,8 @@
 	for _, id := range sortedKeys(w.jobs) {
 		p.Tasks = append(p.Tasks, c.placementTask(w.jobs[id], now))
 	}
-	for id, attempts := range c.unsent {
-		for _, a := range attempts {
+	for _, id := range sortedKeys(c.unsent) {
+		for _, a := range c.unsent[id] {
 			if a.worker == name {
 				ref := remote.TaskRef{Job: id, Attempt: int(a.attempt)}
 				p.Tasks = append(p.Tasks, placement.Task{Ref: ref, Needs: a.needs, Stopping: true, Unevictable: true})
