processtest: the job of TestOwnerKilledDuringEviction outlasts a takeover

What was seen: "the long job is done in attempt 1", so that the test had nothing to check, in 1 of 7 runs beside others (checkpoint).

Cause, in the test: the owner is killed 6 to 27 ms after the urgent job was submitted, and the next owner makes its first call to the worker 2.27 to 2.32 s after that submission (one trace of each case). The job to evict ran for 2.5 s. If a takeover takes a little longer, the job ends in its first attempt and nothing has to be evicted, which is right. A worker that has received the stop can't end the job in that way.

Change: the job runs for 6 s. All checks stay as they were.

--- a/internal/processtest/jobs_faults_test.go
+++ b/internal/processtest/jobs_faults_test.go
@@ -140,7 +140,8 @@
 }
 
 func testOwnerKilledAfter(t *testing.T, seed uint64, step string) {
-	j := newJobHarness(t, seed, 1, 4000, []standin.Workload{{Name: "long", RunMS: 2500}, {Name: "alert", RunMS: 200}})
+	// The long job outlasts a takeover: one that ends before it is not evicted.
+	j := newJobHarness(t, seed, 1, 4000, []standin.Workload{{Name: "long", RunMS: 6000}, {Name: "alert", RunMS: 200}})
 	j.declareJob("long", 3000, false)
 	j.declareJob("alert", 2000, true)
 	j.awaitOwners(j.entries...)
