--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -32,6 +32,16 @@
 // suspect reports whether the newest result on the worker was a failure.
 func (h *health) suspect() bool { return h.failures > 0 }
 
+// noteEndForHealth judges a worker by the end of an attempt there.
+func (c *Core) noteEndForHealth(w *worker, reason EndReason, now time.Time) {
+	switch reason {
+	case EndDone:
+		w.health = health{}
+	case EndFailed:
+		c.countAgainst(w, quarantineFailures, now)
+	}
+}
+
 // countAgainst counts a failure against a worker, which is quarantined once a number of
 // them follow each other.
 func (c *Core) countAgainst(w *worker, limit int, now time.Time) {
