processtest: let cancellations race starts that were seen

TestCancellationsRaceStarts failed at times on a busy machine, because no attempt of a cancelled job had started and it had nothing to check.

Cause: each cancellation came at most 300 ms after its job was accepted, while a start needs another record to be appended and read back. If that takes longer, all cancellations come before the starts.

Half of the cancellations now wait until the worker has started the task, while its response is held back; the other half come at random times as before.

--- a/internal/processtest/jobs_faults_test.go
+++ b/internal/processtest/jobs_faults_test.go
@@ -188,11 +188,25 @@
 // once, and none of its attempts keeps running.
 func TestCancellationsRaceStarts(t *testing.T) {
 	t.Parallel()
-	j := newJobHarness(t, 104, 2, 16_000, []standin.Workload{{Name: "medium", RunMS: 1000}})
+	// The tasks outlast the cancellation of a job that was seen to start.
+	j := newJobHarness(t, 104, 2, 16_000, []standin.Workload{{Name: "medium", RunMS: 3000}})
 	j.declareJob("medium", 500, false)
 	j.awaitOwners(j.entries...)
+	var starts sync.Map // a channel by job id, closed once the worker has started it
+	started := func(id string) chan struct{} {
+		c, _ := starts.LoadOrStore(id, make(chan struct{}))
+		return c.(chan struct{})
+	}
+	var mu sync.Mutex
 	j.afterEachCall(func(call workerCall) bool {
 		if call.kind == "start" {
+			mu.Lock()
+			select {
+			case <-started(call.task.Job):
+			default:
+				close(started(call.task.Job))
+			}
+			mu.Unlock()
 			time.Sleep(50 * time.Millisecond) // so that cancellations arrive before the response
 		}
 		return true
@@ -210,13 +224,23 @@
 			if n%3 == 0 {
 				return
 			}
-			time.Sleep(pauses[n])
+			// One half waits for the start, whose response the worker holds back; the
+			// other half doesn't.
+			if n%3 == 1 {
+				select {
+				case <-started(ids[n]):
+				case <-time.After(waitTimeout):
+					j.Errorf("job %s has not started", ids[n])
+				}
+			} else {
+				time.Sleep(pauses[n])
+			}
 			_, result := j.client.CancelJob(context.Background(), j.entries[(n+1)%3].entry(), ids[n])
 			j.Check(result.Outcome, qt.Equals, history.OutcomeOK, qt.Commentf("%s %+v", ids[n], result.Failure))
 		})
 	}
 	calls.Wait()
-	started := 0
+	attempts := 0
 	for n, id := range ids {
 		status := j.awaitEnded([]string{id})[id]
 		if n%3 == 0 || status.State != "cancelled" {
@@ -224,12 +248,12 @@
 			continue
 		}
 		for _, attempt := range j.attempts(id) {
-			started++
+			attempts++
 			j.Check(attempt.End != 0, qt.IsTrue, qt.Commentf("an attempt of %s still runs", id))
 		}
 	}
-	j.Logf("%d attempts of cancelled jobs had started", started)
-	j.Check(started > 0, qt.IsTrue)
+	j.Logf("%d attempts of cancelled jobs had started", attempts)
+	j.Check(attempts > 0, qt.IsTrue)
 	j.checkJobs(count / 3)
 }
 
