--- a/internal/scheduler/interference.go
+++ b/internal/scheduler/interference.go
@@ -279,6 +279,9 @@
 		if !f.step().filler() || f.stopReason != "" || f.speedPending || f.startedAt.IsZero() && f.seenAt.IsZero() || f.progress >= almostDonePercent {
 			continue
 		}
+		if f.speed <= speedStepPercent && !f.evictable() {
+			continue // another filler may be slowed
+		}
 		if rise := c.rise(w, over, f); rise > most {
 			worst, most = f, rise
 		}
--- a/internal/scheduler/paused_filler_test.go
+++ b/internal/scheduler/paused_filler_test.go
@@ -43,3 +43,44 @@
 	}
 	qt.Check(t, sim.core.State(simJob(100).GetId()), qt.Equals, pb.PublicState_PUBLIC_STATE_COMPLETED)
 }
+
+// Guards against a filler at its lowest speed that is slowed again and again, so that the
+// others beside the service are not.
+func TestFillerAtLowestSpeedLeavesOthersToBeSlowed(t *testing.T) {
+	sim := newSimulation(1, 1)
+	sim.core.RestoreInterference(&pb.StoredPairs{Services: []*pb.StoredService{
+		{Image: "service", Floor: 0.22, Weights: []*pb.StoredWeight{{Filler: "heavy", Mean: 8, Variance: 0.001}, {Filler: "light", Mean: 1, Variance: 0.001}}},
+	}})
+	sim.taskFor = func(r AttemptID) simTask {
+		if imageOf(r) == 1 {
+			return simTask{longRunning: true, latencyMS: harmlessMS}
+		}
+		return simTask{work: time.Minute}
+	}
+	service := simStepSpec(1, 1600)
+	service.Lasting, service.LatencyTargetMs, service.Image = true, harmTargetMS, "service"
+	sim.submit(simJob(1, service))
+	sim.run(3 * time.Second)
+	for n, image := range []string{"heavy", "light"} {
+		filler := simStepSpec(1, int64(3000-1400*n))
+		filler.Filler, filler.Checkpoints, filler.Image = true, true, image
+		sim.submit(simJob(100+n, filler))
+		sim.run(300 * time.Millisecond)
+	}
+	lowest := map[int]int{100: 100, 101: 100}
+	for range 600 {
+		sim.step()
+		for _, r := range sim.workers[0].active {
+			if r.task.longRunning {
+				if len(sim.workers[0].active) > 2 {
+					r.task.latencyMS = 2 * harmTargetMS
+				}
+			} else if r.speed > 0 { // zero while it is being stopped
+				n := imageOf(r.attemptID)
+				lowest[n] = min(lowest[n], r.speed)
+			}
+		}
+	}
+	qt.Check(t, lowest[100], qt.Equals, speedStepPercent)
+	qt.Check(t, lowest[101] < 100, qt.IsTrue)
+}
