scheduler: log and export jobs of fillers with nothing running

The log of waits speaks of steps and the line load of tasks, so that neither shows whether a job that waits has anything running. The line load now counts the jobs with fillers, those with nothing running, the longest such time, the fillers beyond the first of each job and attempts that no worker has confirmed; step waits has idle_ms and running; owner_longest_idle_seconds is exported.

--- a/internal/daemon/owner_load.go
+++ b/internal/daemon/owner_load.go
@@ -67,6 +67,7 @@
 	busyShare prometheus.Gauge
 	late      prometheus.Counter
 	waits     *prometheus.GaugeVec
+	idle      prometheus.Gauge
 }
 
 func newLoopMetrics(r prometheus.Registerer) *loopMetrics {
@@ -92,8 +93,11 @@
 		waits: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "owner_longest_wait_seconds", Help: "For how long the task that waits longest has been ready to start, by class of work.",
 		}, []string{"class"}),
+		idle: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "owner_longest_idle_seconds", Help: "For how long the job of fillers that waits longest has had nothing running although a task could start.",
+		}),
 	}
-	r.MustRegister(m.work, m.wait, m.oldest, m.passes, m.busyShare, m.late, m.waits)
+	r.MustRegister(m.work, m.wait, m.oldest, m.passes, m.busyShare, m.late, m.waits, m.idle)
 	return m
 }
 
@@ -155,8 +159,10 @@
 	l.nextPassAt = l.mark.Add(min(passRest*l.mark.Sub(began), maxPassRest))
 }
 
-// exportWaits exports the longest waits of ready tasks.
-func (l *loopLoad) exportWaits(waits [scheduler.WorkClasses]time.Duration) {
+// exportWaits exports the longest waits of ready tasks, and the longest time for which a job
+// of fillers had nothing running.
+func (l *loopLoad) exportWaits(waits [scheduler.WorkClasses]time.Duration, idle time.Duration) {
+	l.metrics.idle.Set(idle.Seconds())
 	for class, d := range waits {
 		l.metrics.waits.WithLabelValues(scheduler.WorkClass(class).String()).Set(d.Seconds())
 	}
--- a/internal/daemon/owner_term.go
+++ b/internal/daemon/owner_term.go
@@ -235,7 +235,7 @@
 	for {
 		o.sendOutput()
 		if o.load.summarize(o.instance.log, core.PassCounts()) {
-			o.load.exportWaits(core.LongestWaits())
+			o.load.exportWaits(core.LongestWaits(), core.LongestIdle())
 		}
 		select {
 		case <-o.ctx.Done():
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -33,6 +33,7 @@
 		a.copy, t.copied = true, true
 	}
 	t.attempts = append(t.attempts, a)
+	t.step.round.job.attempts++
 	t.lastAttempt = max(t.lastAttempt, number)
 	w.add(a)
 	c.visitSoon(w)
@@ -352,7 +353,8 @@
 		w.pastFillers = append(w.pastFillers, pastFiller{t.step.image, part, a.seenAt, now})
 	}
 	t.attempts = slices.DeleteFunc(t.attempts, func(o *attempt) bool { return o == a })
-	t.endedAt, t.waitedBefore = now, 0
+	j.attempts--
+	j.lastEnd, t.endedAt, t.waitedBefore = now, now, 0
 	if a.restored && !w.adopted {
 		t.waitedBefore = restoredWait // it had ended by the takeover, or soon after
 	}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -16,6 +16,8 @@
 	received time.Time
 	endedAt  time.Time
 	rounds   []*round
+	attempts int       // at its tasks that may be active
+	lastEnd  time.Time // of an attempt
 	// visible is the state that callers are shown: that of the newest confirmed
 	// record.
 	visible  pb.PublicState
--- a/internal/scheduler/summary.go
+++ b/internal/scheduler/summary.go
@@ -53,8 +53,10 @@
 			late += s.waiting
 		}
 	}
+	jobs := c.countFillerJobs(now)
 	c.addLogEntry("load", "", "workers", usable, "silent", silent, "unhealthy", unhealthy, "capacity_milli", capacity,
 		"used_milli", requested, "fillers_milli", fillers, "paced_milli", throttled, "services", serving, "services_over", over,
 		"waiting", waiting, "waiting_fillers", waitingFillers, "waiting_services", waitingServices, "waiting_late", late,
-		"held_back", c.contention.held, "headroom_milli", c.contention.keptMilli)
+		"filler_jobs", jobs.all, "filler_jobs_idle", jobs.idle, "longest_idle_ms", jobs.longest.Milliseconds(),
+		"fillers_beyond_first", jobs.extra, "fillers_unseen", jobs.unseen, "held_back", c.contention.held, "headroom_milli", c.contention.keptMilli)
 }
--- a/internal/scheduler/waits.go
+++ b/internal/scheduler/waits.go
@@ -68,12 +68,17 @@
 type waits struct {
 	at      time.Time
 	longest [WorkClasses]time.Duration
+	idle    time.Duration // of a job of fillers
 }
 
 // LongestWaits returns for how long the tasks that wait longest have been ready to start,
 // by class of work, as of the newest second.
 func (c *Core) LongestWaits() [WorkClasses]time.Duration { return c.waits.longest }
 
+// LongestIdle returns for how long the job of fillers that waits longest has had nothing
+// running although a task could start, as of the newest second.
+func (c *Core) LongestIdle() time.Duration { return c.waits.idle }
+
 // longestWait returns for how long the tasks of a step have waited at most: each since the
 // step became ready, its newest attempt ended or it may be retried.
 func (s *step) longestWait(now time.Time) time.Duration {
@@ -107,7 +112,7 @@
 	if p.now.Sub(w.at) < waitsInterval {
 		return
 	}
-	w.at, w.longest = p.now, [WorkClasses]time.Duration{}
+	w.at, w.longest, w.idle = p.now, [WorkClasses]time.Duration{}, 0
 	var long []waitingStep
 	for n, r := range ranks {
 		s := r.step
@@ -116,6 +121,9 @@
 		}
 		wait := s.longestWait(p.now)
 		w.longest[s.class()] = max(w.longest[s.class()], wait)
+		if s.filler() {
+			w.idle = max(w.idle, s.idleFor(p.now))
+		}
 		if wait >= explainedWait && p.now.Sub(s.explainedAt) >= explainInterval {
 			long = append(long, waitingStep{r, wait, n})
 		}
@@ -133,6 +141,7 @@
 	s.explainedAt = p.now
 	j := s.round.job
 	fields := []any{"job", j.sub.GetId(), "round", s.round.number, "step", s.index, "class", s.class().String(), "wait_ms", w.wait.Milliseconds(),
+		"idle_ms", s.idleFor(p.now).Milliseconds(), "running", j.attempts,
 		"waiting", s.waiting, "unfinished", s.unfinished, "standing", w.standing.String(), "ahead", w.ahead, "cpu_milli", s.size.CPUMilli, "memory_mib", s.size.MemoryMiB,
 		"gang", s.spec.GetGang(), "left_out", p.leftOut[s], "held_back", s.heldBack}
 	q := p.core.queue(j)
