scheduler: each job of fillers has a task running while others use little

Callers saw accepted jobs of which nothing ran for 3 s and longer, with most of the workers' room free by the rule: fillers don't count as use there. They did count when a filler was placed, and everything that bounded a wait was bounded for a step or a worker. With more jobs than tasks that fit, or after each eviction, a job stood behind the others without a bound.

A job of fillers with nothing running for 1.2 s now starts one task whatever the fillers on its worker use, at a tenth of its speed, if other work requests less than 0.6 of the pool. Those that waited longest go first. The order of jobs is unchanged: the task is sped up when the turn of its step comes and its worker has CPU for it.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -183,6 +183,9 @@
 		a.startedAt = now
 		a.noteClock(r)
 		c.noteBegun(a.job())
+		if a.overcommitted {
+			c.setSpeed(a, a.speed, now)
+		}
 		if a.step().filler() && !c.disabled.ignoreInterference {
 			c.adjustFillers(w, now)
 		}
@@ -355,6 +358,10 @@
 	t.attempts = slices.DeleteFunc(t.attempts, func(o *attempt) bool { return o == a })
 	j.attempts--
 	j.lastEnd, t.endedAt, t.waitedBefore = now, now, 0
+	if !a.overcommitted {
+		t.servedAt = now
+	}
+	a.endOvercommit()
 	if a.restored && !w.adopted {
 		t.waitedBefore = restoredWait // it had ended by the takeover, or soon after
 	}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -135,6 +135,7 @@
 	waits           waits
 	memory          passMemory
 	adjusting       adjusting
+	overcommitNext  int             // worker that the newest search of overcommitTask looked at
 	blockTasks      int             // see defaultBlockTasks
 	removedQueues   map[string]bool // as logged
 	fenced          bool
--- a/internal/scheduler/idle_jobs.go
+++ b/internal/scheduler/idle_jobs.go
@@ -2,18 +2,24 @@
 
 import "time"
 
+// restoredIdle is the longest time for which a job counts as idle at a takeover. The rest
+// of its wait lets more workers answer the new owner, so that they share the idle jobs.
+const restoredIdle = 600 * time.Millisecond
+
 // idleFor returns for how long a job with a ready step has had no attempt that may be
 // active, zero if it has one.
 func (s *step) idleFor(now time.Time) time.Duration {
 	j := s.round.job
-	if j.attempts > 0 {
+	switch {
+	case j.attempts > 0:
 		return 0
+	case j.lastEnd.After(s.readyAt):
+		return now.Sub(j.lastEnd)
+	case j.lastEnd.IsZero():
+		return now.Sub(s.readyAt) + min(j.idleBefore, restoredIdle)
+	default:
+		return now.Sub(s.readyAt)
 	}
-	since := s.readyAt
-	if j.lastEnd.After(since) {
-		since = j.lastEnd
-	}
-	return now.Sub(since)
 }
 
 // fillerJobs sums up the jobs with a ready step of fillers.
--- a/internal/scheduler/interference.go
+++ b/internal/scheduler/interference.go
@@ -333,8 +333,8 @@
 // tightest service allows.
 func (c *Core) speedUp(w *worker, tightest *attempt, slack float64, now time.Time) {
 	for _, f := range w.list {
-		if !f.step().filler() || f.speed == 100 || f.speedPending || f.stopReason != "" {
-			continue
+		if !f.step().filler() || f.speed == 100 || f.speedPending || f.stopReason != "" || f.overcommitted {
+			continue // an overcommitted one is sped up when the turn of its step comes
 		}
 		percent := 100
 		if tightest != nil {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -18,6 +18,8 @@
 	rounds   []*round
 	attempts int       // at its tasks that may be active
 	lastEnd  time.Time // of an attempt
+	// idleBefore is for how long a task had waited at the takeover of this owner.
+	idleBefore time.Duration
 	// visible is the state that callers are shown: that of the newest confirmed
 	// record.
 	visible  pb.PublicState
@@ -55,6 +57,9 @@
 	advice     *advice
 	near       nearStep
 	noRoom     noRoom
+	// overcommitted counts the attempts that were started without free CPU and still run
+	// at a reduced speed.
+	overcommitted int
 	// explainedAt is when it was last logged why tasks of the step wait.
 	explainedAt time.Time
 }
@@ -77,6 +82,8 @@
 	// notBefore is the earliest time of the next attempt after a failure.
 	notBefore time.Time
 	endedAt   time.Time // of the newest attempt
+	// servedAt is the end of the newest attempt that was not overcommitted.
+	servedAt time.Time
 	// waitedBefore is for how long the task had waited when this owner learned that it
 	// waits, zero if an attempt has ended since.
 	waitedBefore time.Duration
@@ -132,7 +139,10 @@
 	// overAlone is set if a service missed its target when it was last measured without
 	// fillers beside it.
 	overAlone bool
-	load      interference.LoadEstimate // of a service
+	// overcommitted is set while a filler that was started without free CPU has not
+	// reached full speed.
+	overcommitted bool
+	load          interference.LoadEstimate // of a service
 }
 
 func (s *step) longRunning() bool { return s.spec.GetLasting() }
@@ -187,15 +197,17 @@
 }
 
 // starved reports whether a step has been ready for longer than fillerStarvation
-// without an attempt at any of its tasks.
+// without an attempt at any of its tasks, apart from overcommitted ones.
 func (s *step) starved(now time.Time) bool {
 	since := s.readyAt
 	for _, t := range s.tasks {
-		if t.assigned() {
-			return false
+		for _, a := range t.attempts {
+			if !a.overcommitted {
+				return false
+			}
 		}
-		if t.endedAt.After(since) {
-			since = t.endedAt
+		if t.servedAt.After(since) {
+			since = t.servedAt
 		}
 	}
 	return now.Sub(since) > fillerStarvation
--- a/internal/scheduler/loss.go
+++ b/internal/scheduler/loss.go
@@ -22,8 +22,12 @@
 		a.task.limitedStarts--
 	}
 	since := c.silentAt(a.worker, now)
+	served := a.task.servedAt
 	c.endAttempt(a, EndLost, "", now)
 	a.task.endedAt = since
+	if a.task.servedAt != served {
+		a.task.servedAt = since
+	}
 }
 
 // silentAt returns when a worker fell silent, or now if it answers. A worker that has
--- a/internal/scheduler/no_room.go
+++ b/internal/scheduler/no_room.go
@@ -94,6 +94,7 @@
 	used    int // rooms of the current pass
 	ranks   []rank
 	entries []rankedCandidate
+	idle    []*step
 }
 
 func (m *passMemory) newRoom() *room {
@@ -111,12 +112,14 @@
 type stepCosts struct {
 	margin  float64 // see Core.margin
 	starved bool    // see step.starved
+	// overcommit is set for a task that starts at overcommitSpeed, whatever the use.
+	overcommit bool
 }
 
 // prepare computes stepCosts for a step.
 func (p *pass) prepare(s *step) {
 	p.costs = stepCosts{}
 	if s.filler() {
-		p.costs = stepCosts{p.core.margin(s, p.now), s.starved(p.now)}
+		p.costs = stepCosts{margin: p.core.margin(s, p.now), starved: s.starved(p.now)}
 	}
 }
--- /dev/null
+++ b/internal/scheduler/overcommit.go
@@ -0,0 +1,150 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// overcommitAfter is how long a job of fillers may have nothing running before it
+	// starts a task on a worker without free CPU. A job must not wait for 3 s, of which
+	// the record and the start take a part.
+	overcommitAfter = 1200 * time.Millisecond
+	// overcommitSpeed is the speed of such a task in percent: the others on its worker
+	// hardly notice it.
+	overcommitSpeed = 10
+	// overcommitMaxUse is the share of a pool's CPU that work other than fillers may
+	// request. Jobs of fillers must not wait on a pool of which less than half is in use.
+	overcommitMaxUse = 0.6
+	// overcommitChoices is the number of suitable workers that are compared for a task.
+	overcommitChoices = 8
+)
+
+// overcommit starts one task of each job of fillers that has had nothing running for
+// overcommitAfter, those that waited longest first. Fillers only get the CPU that others
+// leave, so that a job can start however many there are, as long as there is memory.
+func (p *pass) overcommit(ranks []rank) {
+	idle := p.core.memory.idle[:0]
+	for _, r := range ranks {
+		s := r.step
+		if s.filler() && s.waiting > 0 && !s.spec.GetGang() && s.idleFor(p.now) >= overcommitAfter {
+			idle = append(idle, s)
+		}
+	}
+	p.core.memory.idle = idle
+	slices.SortStableFunc(idle, func(a, b *step) int { return cmp.Compare(b.idleFor(p.now), a.idleFor(p.now)) })
+	full := make(map[string]bool) // pools without a worker for the newest request
+	for _, s := range idle {
+		q := p.core.queue(s.round.job)
+		if q == nil || full[q.Pool] || s.round.job.attempts > 0 || !p.sparesCPU(q.Pool) {
+			continue
+		}
+		_, plain := requirementsOf(s, q.Pool)
+		full[q.Pool] = !p.overcommitTask(s, q) && plain && q.Advice == nil
+	}
+}
+
+// sparesCPU reports whether work other than fillers requests so little of a pool that no
+// job of fillers may wait.
+func (p *pass) sparesCPU(pool string) bool {
+	if spares, known := p.spares[pool]; known {
+		return spares
+	}
+	var used, capacity int64
+	for _, cand := range p.pool(pool) {
+		used += cand.worker.used.CPUMilli
+		capacity += cand.worker.entry.Capacity.CPUMilli
+	}
+	if p.spares == nil {
+		p.spares = make(map[string]bool)
+	}
+	p.spares[pool] = float64(used) < overcommitMaxUse*float64(capacity)
+	return p.spares[pool]
+}
+
+// overcommitTask starts the first waiting task of a step at overcommitSpeed. It returns
+// false if no worker may run it.
+func (p *pass) overcommitTask(s *step, q *Queue) bool {
+	n := slices.IndexFunc(s.tasks, func(t *task) bool { return !t.done && !t.assigned() && !p.now.Before(t.notBefore) })
+	if n < 0 {
+		return true
+	}
+	t := s.tasks[n]
+	p.costs = stepCosts{margin: p.core.margin(s, p.now), starved: true, overcommit: true}
+	candidates := p.pool(q.Pool)
+	var found *candidate
+	lowest, choices := 0.0, 0
+	for range candidates {
+		// Passes and steps begin with different workers, so that they share the load.
+		p.core.overcommitNext++
+		cand := candidates[p.core.overcommitNext%len(candidates)]
+		p.core.passCounts.Looks++
+		cost, why := p.costIfFits(t, cand, q)
+		if why != accepted {
+			continue
+		}
+		if found == nil || cost < lowest {
+			found, lowest = cand, cost
+		}
+		if choices++; choices == overcommitChoices {
+			break
+		}
+	}
+	if found == nil {
+		return false
+	}
+	a := p.core.place(t, found.worker, t.lastAttempt+1, p.now)
+	a.overcommitted, a.speed = true, overcommitSpeed
+	s.overcommitted++
+	found.update()
+	p.core.passCounts.Placed++
+	j := s.round.job
+	p.core.addLogEntry("task overcommitted", j.sub.GetRequestId(), "run", a.attemptID.String(), "worker", found.worker.id,
+		"percent", a.speed, "use", round2(share(found.load.use, found.worker.entry.Capacity.CPUMilli)))
+	return true
+}
+
+// promote speeds the overcommitted attempts of a step up as far as their workers have CPU
+// for them by now. It is the turn of the step, so that they go ahead of later steps.
+func (p *pass) promote(s *step) {
+	for _, t := range s.tasks {
+		for _, a := range t.attempts {
+			if a.overcommitted && !a.unsettled() && a.stopReason == "" && !a.speedPending {
+				p.promoteAttempt(a)
+			}
+		}
+	}
+}
+
+func (p *pass) promoteAttempt(a *attempt) {
+	cand, s := a.worker.kept, a.step()
+	if cand == nil || cand.seenIn != p.number || cand.overTarget || cand.overAlone {
+		return
+	}
+	capacity := a.worker.entry.Capacity.CPUMilli
+	room := int64(fillerMaxUse*float64(capacity)) - cand.load.use
+	if s.size.CPUMilli > 0 {
+		room = room * 100 / s.size.CPUMilli
+	}
+	percent := min(a.speed+int(max(min(room, 100), 0))/speedStepPercent*speedStepPercent, 100)
+	if percent < a.speed+minSpeedUpPercent && percent < 100 {
+		return
+	}
+	if _, ok := cand.maxRise(s.image, share(s.size.CPUMilli*int64(percent-a.speed)/100, capacity)); !ok && !s.starved(p.now) {
+		return
+	}
+	p.core.setSpeed(a, percent, p.now)
+	if a.speed == 100 {
+		a.endOvercommit()
+	}
+	cand.update()
+}
+
+// endOvercommit makes an overcommitted attempt one like others.
+func (a *attempt) endOvercommit() {
+	if a.overcommitted {
+		a.overcommitted = false
+		a.step().overcommitted--
+	}
+}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -27,6 +27,7 @@
 	if bestEffort {
 		c.bestEffortAt = now
 		pass.placeCopies()
+		pass.overcommit(ranks)
 		pass.observeWaits(ranks)
 	}
 }
@@ -50,12 +51,12 @@
 	c.blocked = kept
 }
 
-// waitingSteps returns the ready steps with tasks to place, in the order in which
-// they are placed, without fillers unless bestEffort is set.
+// waitingSteps returns the ready steps with tasks to place or to speed up, in the order in
+// which they are placed, without fillers unless bestEffort is set.
 func (c *Core) waitingSteps(bestEffort bool, now time.Time) []rank {
 	list := c.memory.ranks[:0]
 	for _, s := range c.ready {
-		if s.waiting > 0 && (bestEffort || !s.filler()) {
+		if s.waiting+s.overcommitted > 0 && (bestEffort || !s.filler()) {
 			list = c.appendRanks(list, s, now)
 		}
 	}
@@ -94,6 +95,7 @@
 	spare    map[string]*spare // by pool, see spareIn
 	held     int               // workers held for gangs
 	leftOut  map[*step]bool    // steps that were not tried, see unplaced
+	spares   map[string]bool   // by pool, see sparesCPU
 }
 
 // requirements are the properties that a task requires of a worker, apart from the
@@ -158,6 +160,12 @@
 		return // the queue was removed, so no worker may run its jobs
 	}
 	candidates := p.pool(q.Pool)
+	if s.overcommitted > 0 {
+		p.promote(s)
+		if s.waiting == 0 {
+			return
+		}
+	}
 	if q.Advice != nil {
 		defer func() {
 			if s.waiting > 0 {
--- a/internal/scheduler/ranking.go
+++ b/internal/scheduler/ranking.go
@@ -103,8 +103,12 @@
 func (p *pass) fillerCost(s *step, cand *candidate) (float64, refusal) {
 	w := cand.worker
 	cpu := w.entry.Capacity.CPUMilli
-	use := share(cand.load.use+s.size.CPUMilli, cpu)
-	if use > fillerMaxUse && cand.load.use > 0 {
+	size := s.size.CPUMilli
+	if p.costs.overcommit {
+		size = size * overcommitSpeed / 100
+	}
+	use := share(cand.load.use+size, cpu)
+	if use > fillerMaxUse && cand.load.use > 0 && !p.costs.overcommit {
 		return 0, refusedUse
 	}
 	if p.core.disabled.ignoreInterference {
@@ -115,7 +119,7 @@
 		// HarmLimit all fillers there are stopped.
 		return 0, refusedOverTarget
 	}
-	rise, ok := cand.maxRise(s.image, share(s.size.CPUMilli, cpu))
+	rise, ok := cand.maxRise(s.image, share(size, cpu))
 	cost := use + riseCost*rise*(1+marginCost*p.costs.margin)
 	switch {
 	case cand.overAlone:
--- a/internal/scheduler/restored_waits.go
+++ b/internal/scheduler/restored_waits.go
@@ -23,11 +23,13 @@
 			for _, t := range s.tasks {
 				switch {
 				case t.done || t.assigned():
+					continue
 				case t.ranBefore():
 					t.waitedBefore = restoredWait
 				default:
 					t.waitedBefore = since
 				}
+				j.idleBefore = max(j.idleBefore, t.waitedBefore)
 			}
 		}
 	}
