scheduler: the speed of a filler is known after a takeover and to the stall check

Two waits without a bound of the same class, found by reading for the cause of the idle jobs. The speeds of fillers are not stored, so that a new owner took each for one at full speed: one that was slowed ran on at a tenth of its speed until it ended. And only tasks at full speed were checked for progress, so that a task that hangs at a lower speed was never restarted.

A new owner sets the speed of each filler that it inherits when its worker first answers: full speed as far as there is CPU for it, otherwise that of an overcommitted one. A task may show no progress for longer the slower it is.

--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -15,7 +15,8 @@
 	// stayPercent is the progress from which a task stays on a draining worker,
 	// which continues to run for seconds.
 	stayPercent = 50
-	// stallTime is how long a task may show no progress at full speed. Progress is
+	// stallTime is how long a task may show no progress at full speed; at half of it, twice
+	// as long. Progress is
 	// reported in percent, and one percent of a long task takes a tenth of a
 	// second.
 	stallTime = 1500 * time.Millisecond
@@ -66,10 +67,13 @@
 		}
 		return from, a.progress < 100
 	default:
-		if set := a.speedSetAt.Add(stallTime); set.After(from) {
-			from = set
+		if a.speedSetAt.After(a.progressAt) {
+			from = a.speedSetAt.Add(stallTime)
 		}
-		return from, a.speed == 100 && a.confirmedSpeed == 100
+		if a.speed > 0 {
+			from = from.Add(stallTime * time.Duration(100-a.speed) / time.Duration(a.speed))
+		}
+		return from, a.speed > 0 && a.confirmedSpeed == a.speed
 	}
 }
 
--- a/internal/scheduler/overcommit.go
+++ b/internal/scheduler/overcommit.go
@@ -141,6 +141,32 @@
 	cand.update()
 }
 
+// restoreSpeeds sets the speeds of the fillers that earlier owners started on a worker,
+// since those at which they run are not stored: full speed as far as there is CPU for
+// them, overcommitSpeed for the others.
+func (c *Core) restoreSpeeds(w *worker, now time.Time) {
+	var restored []*attempt
+	use := loadOf(w, nil).use
+	for _, a := range w.list {
+		if a.step().filler() && a.restored && !a.step().spec.GetGang() {
+			restored = append(restored, a)
+			use -= a.step().size.CPUMilli * int64(a.speed) / 100
+		}
+	}
+	slices.SortStableFunc(restored, func(a, b *attempt) int { return a.placedAt.Compare(b.placedAt) })
+	for _, a := range restored {
+		s := a.step()
+		a.speedUnknown, w.changed = true, true
+		if use += s.size.CPUMilli; float64(use) <= fillerMaxUse*float64(w.entry.Capacity.CPUMilli) {
+			continue
+		}
+		use -= s.size.CPUMilli * (100 - overcommitSpeed) / 100
+		a.overcommitted, a.speed = true, overcommitSpeed
+		s.overcommitted++
+	}
+	c.checkBy(w, now)
+}
+
 // endOvercommit makes an overcommitted attempt one like others.
 func (a *attempt) endOvercommit() {
 	if a.overcommitted {
--- a/internal/scheduler/overcommit_test.go
+++ b/internal/scheduler/overcommit_test.go
@@ -10,15 +10,15 @@
 )
 
 // newFullSimulation returns a simulation of one worker on which the fillers of job 100 use
-// all CPU that its service leaves for 5 s, and another job of fillers, 101, has arrived.
-func newFullSimulation(service int64) *simulation {
+// all CPU that its service leaves for a time, and another job of fillers, 101, has arrived.
+func newFullSimulation(service int64, work time.Duration) *simulation {
 	sim := newSimulation(1, 1)
 	sim.taskFor = func(r AttemptID) simTask {
 		switch imageOf(r) {
 		case 1:
 			return simTask{longRunning: true, latencyMS: harmlessMS}
 		case 100:
-			return simTask{work: 5 * time.Second}
+			return simTask{work: work}
 		}
 		return simTask{work: time.Second}
 	}
@@ -51,7 +51,7 @@
 // CPU for it by now.
 func TestOvercommittedTaskIsSpedUp(t *testing.T) {
 	c := qt.New(t)
-	sim := newFullSimulation(1600)
+	sim := newFullSimulation(1600, 5*time.Second)
 	sim.run(1500 * time.Millisecond)
 	c.Check(sim.speedOf(101), qt.Equals, overcommitSpeed)
 	sim.run(4500 * time.Millisecond)
@@ -62,9 +62,39 @@
 
 // Guards against fillers that are started without free CPU on a pool that other work uses.
 func TestNoOvercommitOnUsedPool(t *testing.T) {
-	sim := newFullSimulation(5000)
+	sim := newFullSimulation(5000, 5*time.Second)
 	for range 300 {
 		sim.step()
 		qt.Assert(t, sim.speedOf(101), qt.Equals, 0)
 	}
 }
+
+// Guards against a filler that runs at a low speed for good after its owner was replaced,
+// since the new owner takes it for one at full speed.
+func TestSpeedOfFillerIsRestoredAtTakeover(t *testing.T) {
+	c := qt.New(t)
+	sim := newFullSimulation(1600, 5*time.Second)
+	sim.run(1500 * time.Millisecond)
+	c.Assert(sim.speedOf(101), qt.Equals, overcommitSpeed)
+	sim.takeOver()
+	sim.run(time.Second)
+	c.Check(sim.speedOf(101), qt.Equals, overcommitSpeed)
+	c.Check(sim.speedOf(100), qt.Equals, 100)
+	sim.run(4 * time.Second)
+	c.Check(sim.core.State(simJob(101).GetId()), qt.Equals, pb.PublicState_PUBLIC_STATE_COMPLETED)
+}
+
+// Guards against a task that hangs at a low speed and is never restarted elsewhere.
+func TestHangingTaskAtLowSpeedIsReplaced(t *testing.T) {
+	sim := newFullSimulation(1600, time.Minute)
+	sim.run(1500 * time.Millisecond)
+	first := sim.core.jobs[simJob(101).GetId()].rounds[0].steps[0].tasks[0].lastAttempt
+	for range 2500 {
+		sim.step()
+		for _, r := range sim.workers[0].active {
+			r.stuck = r.stuck || imageOf(r.attemptID) == 101
+		}
+	}
+	last := sim.core.jobs[simJob(101).GetId()].rounds[0].steps[0].tasks[0].lastAttempt
+	qt.Check(t, last > first, qt.IsTrue, qt.Commentf("%d, %d", first, last))
+}
