scheduler: an idle job without memory delays no other

A job that no worker had memory for ended the search for the pool, so that all jobs that had been idle for less long waited as well. Only steps that need no less are left out. TestIdleJobWithoutMemoryDelaysNoOther failed before.

--- a/internal/scheduler/overcommit.go
+++ b/internal/scheduler/overcommit.go
@@ -34,14 +34,24 @@
 	}
 	p.core.memory.idle = idle
 	slices.SortStableFunc(idle, func(a, b *step) int { return cmp.Compare(b.idleFor(p.now), a.idleFor(p.now)) })
-	full := make(map[string]bool) // pools without a worker for the newest request
+	unplaced := make(map[string]Resources) // by pool, a request that no worker had room for
 	for _, s := range idle {
 		q := p.core.queue(s.round.job)
-		if q == nil || full[q.Pool] || s.round.job.attempts > 0 || !p.sparesCPU(q.Pool) {
+		if q == nil || s.round.job.attempts > 0 || !p.sparesCPU(q.Pool) {
 			continue
 		}
+		if size, found := unplaced[q.Pool]; found && size.FitsIn(s.size) {
+			continue
+		}
+		n := slices.IndexFunc(s.tasks, func(t *task) bool { return !t.done && !t.assigned() && !p.now.Before(t.notBefore) })
+		if n < 0 {
+			continue
+		}
+		t := s.tasks[n]
 		_, plain := requirementsOf(s, q.Pool)
-		full[q.Pool] = !p.overcommitTask(s, q) && plain && q.Advice == nil
+		if !p.overcommitTask(t, q) && plain && q.Advice == nil && !t.suspect() {
+			unplaced[q.Pool] = s.size
+		}
 	}
 }
 
@@ -63,14 +73,10 @@
 	return p.spares[pool]
 }
 
-// overcommitTask starts the first waiting task of a step at overcommitSpeed. It returns
-// false if no worker may run it.
-func (p *pass) overcommitTask(s *step, q *Queue) bool {
-	n := slices.IndexFunc(s.tasks, func(t *task) bool { return !t.done && !t.assigned() && !p.now.Before(t.notBefore) })
-	if n < 0 {
-		return true
-	}
-	t := s.tasks[n]
+// overcommitTask starts a task at overcommitSpeed. It returns false if no worker may run
+// it.
+func (p *pass) overcommitTask(t *task, q *Queue) bool {
+	s := t.step
 	p.costs = stepCosts{margin: p.core.margin(s, p.now), starved: true, overcommit: true}
 	candidates := p.pool(q.Pool)
 	var found *candidate
--- a/internal/scheduler/overcommit_test.go
+++ b/internal/scheduler/overcommit_test.go
@@ -60,6 +60,22 @@
 	c.Check(sim.violations, qt.HasLen, 0)
 }
 
+// Guards against an idle job that no worker has memory for and that keeps all others
+// waiting that have been idle for less long.
+func TestIdleJobWithoutMemoryDelaysNoOther(t *testing.T) {
+	sim := newFullSimulation(1600, time.Minute)
+	large := simStepSpec(1, 300)
+	large.Filler, large.Image, large.MemoryMib = true, "filler", 15000
+	sim.submit(simJob(102, large))
+	sim.run(500 * time.Millisecond)
+	small := simStepSpec(1, 500)
+	small.Filler, small.Image = true, "filler"
+	sim.submit(simJob(103, small))
+	sim.run(3 * time.Second)
+	qt.Check(t, sim.speedOf(102), qt.Equals, 0)
+	qt.Check(t, sim.speedOf(103), qt.Equals, overcommitSpeed)
+}
+
 // Guards against fillers that are started without free CPU on a pool that other work uses.
 func TestNoOvercommitOnUsedPool(t *testing.T) {
 	sim := newFullSimulation(5000, 5*time.Second)
