--- a/internal/scheduler/simulated_worker_test.go
+++ b/internal/scheduler/simulated_worker_test.go
@@ -28,6 +28,12 @@
 		return
 	}
 	sw.token = o.Token
+	if sw.sim.refuse != nil {
+		if r := sw.sim.refuse(o); r != RefusedNone {
+			refuse(r)
+			return
+		}
+	}
 	switch o.Kind {
 	case CommandHold:
 		if o.Lease > 0 {
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -68,7 +68,9 @@
 	intakeDown bool
 	expired    []string
 	// faultOf, if not nil, replaces the random faults.
-	faultOf  func(Command) simFault
+	faultOf func(Command) simFault
+	// refuse, if not nil, returns why a worker refuses a command.
+	refuse   func(Command) Refusal
 	coreTime time.Duration // processor time of the core
 }
 
