scheduler: an overcommitted task is sped up within the slack of services

Found in review: a starved step was sped up without a look at the services on its worker and slowed again after the next measurement, and a task whose start was not sent yet got its new speed before its start, so that it ran at full speed. It is now sped up as far as the services keep their slack, as any filler, and once its start is answered.

TestOvercommittedTaskIsNotSpedUpBesideServiceItSlows (7.8 of 20 s over the target, 24 stops of another job) and TestSpeedOfOvercommittedTaskIsSetAfterItsStart failed before.

--- a/internal/scheduler/interference.go
+++ b/internal/scheduler/interference.go
@@ -261,6 +261,28 @@
 	return left
 }
 
+// spareSpeed returns by how many percent, at most a limit, a filler may be sped up so that
+// the services on its worker keep speedUpSlack.
+func (c *Core) spareSpeed(filler *attempt, limit int) int {
+	w := filler.worker
+	var fillers []interference.Share
+	for _, f := range w.list {
+		if f.step().filler() {
+			fillers = append(fillers, interference.Share{Filler: f.step().image, Share: share(f.step().size.CPUMilli*int64(f.speed)/100, w.entry.Capacity.CPUMilli)})
+		}
+	}
+	for _, a := range w.list {
+		if !a.serving() || a.stopReason != "" {
+			continue
+		}
+		full := c.model.Weight(a.step().image, filler.step().image) * share(filler.step().size.CPUMilli, w.entry.Capacity.CPUMilli)
+		if full > negligibleRise {
+			limit = min(limit, int((c.slack(a, fillers)-speedUpSlack)/full*100))
+		}
+	}
+	return max(limit, 0)
+}
+
 // rise returns by how much a filler at its wanted speed raises the utilization of a
 // service.
 func (c *Core) rise(w *worker, service, filler *attempt) float64 {
--- a/internal/scheduler/overcommit.go
+++ b/internal/scheduler/overcommit.go
@@ -116,7 +116,7 @@
 func (p *pass) promote(s *step) {
 	for _, t := range s.tasks {
 		for _, a := range t.attempts {
-			if a.overcommitted && !a.unsettled() && a.stopReason == "" && !a.speedPending {
+			if a.overcommitted && (!a.startedAt.IsZero() || a.restored) && a.stopReason == "" && !a.speedPending {
 				p.promoteAttempt(a)
 			}
 		}
@@ -128,16 +128,15 @@
 	if cand == nil || cand.seenIn != p.number || cand.overTarget || cand.overAlone {
 		return
 	}
-	capacity := a.worker.entry.Capacity.CPUMilli
-	room := int64(fillerMaxUse*float64(capacity)) - cand.load.use
-	if s.size.CPUMilli > 0 {
-		room = room * 100 / s.size.CPUMilli
+	size := s.size.CPUMilli
+	free := int64(fillerMaxUse*float64(a.worker.entry.Capacity.CPUMilli)) - cand.load.use
+	gain := 100 - a.speed
+	if size > 0 {
+		gain = min(gain, int(max(min(free*100/size, 100), 0)))
 	}
-	percent := min(a.speed+int(max(min(room, 100), 0))/speedStepPercent*speedStepPercent, 100)
-	if percent < a.speed+minSpeedUpPercent && percent < 100 {
-		return
-	}
-	if _, ok := cand.maxRise(s.image, share(s.size.CPUMilli*int64(percent-a.speed)/100, capacity)); !ok && !s.starved(p.now) {
+	gain = p.core.spareSpeed(a, gain) / speedStepPercent * speedStepPercent
+	percent := a.speed + gain
+	if gain < minSpeedUpPercent && percent < 100 {
 		return
 	}
 	p.core.setSpeed(a, percent, p.now)
