scheduler: workers that are quarantined or silent are part of their pool

Found in review: with workers in quarantine the others seemed to be in use by more than 0.6, and no idle job started. TestIdleJobStartsBesideQuarantinedWorkers failed before.

--- a/internal/scheduler/overcommit.go
+++ b/internal/scheduler/overcommit.go
@@ -62,9 +62,11 @@
 		return spares
 	}
 	var used, capacity int64
-	for _, cand := range p.pool(pool) {
-		used += cand.worker.used.CPUMilli
-		capacity += cand.worker.entry.Capacity.CPUMilli
+	for _, w := range p.core.workerList {
+		if w.listed && w.entry.Pool == pool {
+			used += w.used.CPUMilli
+			capacity += w.entry.Capacity.CPUMilli
+		}
 	}
 	if p.spares == nil {
 		p.spares = make(map[string]bool)
