scheduler: an idle job starts beside a service whose fillers are about to be stopped

Found in review: when services on all workers begin to miss their targets together, each worker refused idle jobs for up to 2 s, a stop and 1.5 s until the service was measured without fillers, more than 3 s in all. An overcommitted task may now start on a worker whose fillers are not being stopped yet: the time until all of them are is not lengthened. And a worker is asked every 0.5 s for 1.5 s after its last filler has ended.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -17,8 +17,9 @@
 	// Renewing a lease of 6 s every 1.5 s leaves at least 4.5 s of it when a
 	// worker is cut off.
 	holdWait = 1500 * time.Millisecond
-	// holdWaitServices replaces holdWait on a worker with both services and
-	// fillers. It bounds the age of the latency measurements.
+	// holdWaitServices replaces holdWait on a worker with both services and fillers, also
+	// for a time after the last filler has ended. It bounds the age of the latency
+	// measurements.
 	holdWaitServices = 500 * time.Millisecond
 	// holdRetry is the pause after a hold without an answer.
 	holdRetry = 250 * time.Millisecond
--- a/internal/scheduler/feasibility.go
+++ b/internal/scheduler/feasibility.go
@@ -18,6 +18,8 @@
 	// overTarget is set if a service there misses its target now, maybe because of fillers,
 	// and overAlone if one does whatever fillers do.
 	overTarget, overAlone bool
+	// fillersRun is set if a filler there is not being stopped.
+	fillersRun bool
 	// reserved is set if the worker is reserved for a starving task that does not
 	// fit yet.
 	reserved bool
@@ -81,11 +83,12 @@
 	cand.free = cand.worker.free()
 	cand.load = loadOf(cand.worker, cand.load.fillers)
 	cand.afterShort = cand.free.Add(cand.load.short)
-	cand.services, cand.overTarget, cand.overAlone = cand.services[:0], false, false
+	cand.services, cand.overTarget, cand.overAlone, cand.fillersRun = cand.services[:0], false, false, false
 	if cand.worker.services == 0 {
 		return
 	}
 	for _, a := range cand.worker.list {
+		cand.fillersRun = cand.fillersRun || a.step().filler() && a.stopReason == ""
 		if a.serving() {
 			cand.addService(a)
 			cand.overTarget = cand.overTarget || a.overrun.Missing() && !a.overAlone
--- a/internal/scheduler/ranking.go
+++ b/internal/scheduler/ranking.go
@@ -30,6 +30,9 @@
 	// overAloneCost puts workers with a service that misses its target without fillers
 	// beside it behind those that a starved step slows down.
 	overAloneCost = 200
+	// overTargetCost puts workers with a service that misses its target beside fillers
+	// behind all others for an overcommitted task.
+	overTargetCost = 300
 	// riseCost weighs the rise in a service's utilization against the utilization of
 	// a worker: a filler is placed on a fuller worker rather than on that of a
 	// service that it slows down.
@@ -114,7 +117,7 @@
 	if p.core.disabled.ignoreInterference {
 		return use, accepted
 	}
-	if cand.overTarget || cand.overAlone && !p.costs.starved {
+	if cand.overTarget && !(p.costs.overcommit && cand.fillersRun) || cand.overAlone && !p.costs.starved {
 		// Whatever the cause, more load makes it worse, and after half of
 		// HarmLimit all fillers there are stopped.
 		return 0, refusedOverTarget
@@ -122,6 +125,9 @@
 	rise, ok := cand.maxRise(s.image, share(size, cpu))
 	cost := use + riseCost*rise*(1+marginCost*p.costs.margin)
 	switch {
+	case cand.overTarget:
+		// The time until all fillers there are stopped runs and is not lengthened.
+		return cost + overTargetCost, accepted
 	case cand.overAlone:
 		// A cause other than fillers may last. The task runs until they are stopped.
 		return cost + overAloneCost, accepted
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -252,7 +252,7 @@
 	silent := !w.silentSince.IsZero() && now.Sub(w.silentSince) > renewWhileSilent
 	if w.adopted && !silent {
 		o.Wait = holdWait
-		if w.services > 0 && w.fillerCPU > 0 {
+		if w.services > 0 && (w.fillerCPU > 0 || now.Sub(w.fillersEndedAt) < holdWait) {
 			o.Wait = holdWaitServices
 		}
 		if len(w.attempts) > 0 {
