scheduler: a takeover does not speed slowed fillers up

Beside services the fillers now begin at the lowest speed and are sped up within the slack. A throttle that an unhealthy worker refuses is repeated.

TestSlowedFillersStaySlowAtTakeover and TestRefusedThrottleOfOvercommittedTaskIsRepeated failed before.

--- a/internal/scheduler/overcommit.go
+++ b/internal/scheduler/overcommit.go
@@ -148,30 +148,23 @@
 	cand.update()
 }
 
-// restoreSpeeds sets the speeds of the fillers that earlier owners started on a worker,
-// since those at which they run are not stored: full speed as far as there is CPU for
-// them, overcommitSpeed for the others.
-func (c *Core) restoreSpeeds(w *worker, now time.Time) {
-	var restored []*attempt
-	use := loadOf(w, nil).use
-	for _, a := range w.list {
-		if a.step().filler() && a.restored && !a.step().spec.GetGang() {
-			restored = append(restored, a)
-			use -= a.step().size.CPUMilli * int64(a.speed) / 100
-		}
-	}
+// restoreSpeeds sets the speeds that the fillers of earlier owners are to have on a worker,
+// since those at which they run are not stored: overcommitSpeed beside services, which may
+// be why a filler was slowed, and on other workers full speed as far as there is CPU.
+func (w *worker) restoreSpeeds() {
+	restored := slices.DeleteFunc(slices.Clone(w.list), func(a *attempt) bool { return !a.step().filler() || a.step().spec.GetGang() })
 	slices.SortStableFunc(restored, func(a, b *attempt) int { return a.placedAt.Compare(b.placedAt) })
+	use := int64(0)
 	for _, a := range restored {
 		s := a.step()
-		a.speedUnknown, w.changed = true, true
-		if use += s.size.CPUMilli; float64(use) <= fillerMaxUse*float64(w.entry.Capacity.CPUMilli) {
-			continue
+		a.speedUnknown = true
+		use += s.size.CPUMilli
+		if w.services > 0 || float64(use) > fillerMaxUse*float64(w.entry.Capacity.CPUMilli) {
+			use -= s.size.CPUMilli * (100 - overcommitSpeed) / 100
+			a.overcommitted, a.speed = true, overcommitSpeed
+			s.overcommitted++
 		}
-		use -= s.size.CPUMilli * (100 - overcommitSpeed) / 100
-		a.overcommitted, a.speed = true, overcommitSpeed
-		s.overcommitted++
 	}
-	c.checkBy(w, now)
 }
 
 // endOvercommit makes an overcommitted attempt one like others.
--- a/internal/scheduler/throttle.go
+++ b/internal/scheduler/throttle.go
@@ -38,7 +38,7 @@
 		// The worker runs the filler at the earlier or at the new speed.
 		a.speedUnknown = repeat
 		a.lateUntil = r.Command.SentAt.Add(lateOrderBound)
-	case r.Err != nil:
+	case r.Err != nil, r.Refused == RefusedUnhealthy:
 		a.speedUnknown = repeat
 	case r.Refused != RefusedNone:
 		if repeat {
@@ -55,7 +55,7 @@
 // carried out.
 func (c *Core) repeatSpeed(a *attempt, now time.Time) {
 	w := a.worker
-	if a.speedPending || a.stopReason != "" || w.entry.Address == "" || !w.silentSince.IsZero() {
+	if a.speedPending || a.stopReason != "" || w.entry.Address == "" || !w.silentSince.IsZero() || !w.adopted {
 		return
 	}
 	age := now.Sub(a.speedSetAt)
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -296,7 +296,6 @@
 	c.reconcileActive(w, r.Hold, r.Command.SentAt, now)
 	c.learnSpeed(w, now)
 	if !w.adopted {
-		c.restoreSpeeds(w, now)
 		w.adopted, w.checkAt = true, now
 		w.leaseEnd = now.Add(time.Duration(float64(c.opts.Lease)*clockDriftFactor) + leaseSlack)
 		c.addLogEntry("worker adopted", "", "worker", w.id, "attempts", len(w.attempts))
