scheduler: overcommitted tasks give way to work that lacks memory

Found in review: overcommitted tasks are bounded by memory alone and hold it for ten times as long, so that urgent jobs of 0.3 s took up to 1.87 s. A task that is not best-effort and that no worker has memory for stops overcommitted tasks on one worker. The speeds of inherited fillers are set when their worker first answers, since its size may not be known at the takeover.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -162,9 +162,6 @@
 func (c *Core) Start(now time.Time) {
 	c.started = true
 	c.sortFinished()
-	for _, w := range c.workerList {
-		w.restoreSpeeds()
-	}
 	c.logRemovedQueues()
 	c.planDue = true
 	c.addLogEntry("took over", "", "epoch", c.opts.Epoch, "jobs", len(c.jobs), "workers", len(c.workers))
--- a/internal/scheduler/overcommit.go
+++ b/internal/scheduler/overcommit.go
@@ -105,6 +105,7 @@
 	a := p.core.place(t, found.worker, t.lastAttempt+1, p.now)
 	a.overcommitted, a.speed = true, overcommitSpeed
 	s.overcommitted++
+	found.worker.overcommitted++
 	found.update()
 	p.core.passCounts.Placed++
 	j := s.round.job
@@ -113,6 +114,38 @@
 	return true
 }
 
+// reclaimMemory stops the overcommitted attempts on one worker if that gives a task that is
+// not best-effort the memory that it lacks everywhere.
+func (p *pass) reclaimMemory(t *task, candidates []*candidate, q *Queue) {
+	for _, cand := range candidates {
+		w := cand.worker
+		if w.overcommitted == 0 || !cand.feasible(t, q, p.now) {
+			continue
+		}
+		free, stopping := cand.free, false
+		for _, a := range w.list {
+			if a.overcommitted {
+				free.MemoryMiB += a.step().size.MemoryMiB
+				stopping = stopping || a.stopReason != ""
+			}
+		}
+		if !t.step.size.FitsIn(free) {
+			continue
+		}
+		if stopping {
+			return // what is stopped for this task, or for one like it
+		}
+		free = cand.free
+		for _, a := range slices.Clone(w.list) {
+			if a.overcommitted && !t.step.size.FitsIn(free) {
+				free.MemoryMiB += a.step().size.MemoryMiB
+				p.core.stop(a, "other work needs its memory", p.now)
+			}
+		}
+		return
+	}
+}
+
 // promote speeds the overcommitted attempts of a step up as far as their workers have CPU
 // for them by now. It is the turn of the step, so that they go ahead of later steps.
 func (p *pass) promote(s *step) {
@@ -163,6 +196,7 @@
 			use -= s.size.CPUMilli * (100 - overcommitSpeed) / 100
 			a.overcommitted, a.speed = true, overcommitSpeed
 			s.overcommitted++
+			w.overcommitted++
 		}
 	}
 }
@@ -172,5 +206,6 @@
 	if a.overcommitted {
 		a.overcommitted = false
 		a.step().overcommitted--
+		a.worker.overcommitted--
 	}
 }
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -239,6 +239,9 @@
 			}
 			p.reserve(reservable)
 		default:
+			if !r.step.filler() {
+				p.reclaimMemory(t, candidates, q)
+			}
 			return placed, false // the other tasks of the step request the same resources
 		}
 	}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -49,6 +49,7 @@
 	// fillersEndedAt is when the last of the worker's fillers ended, zero if it has had none.
 	fillersEndedAt time.Time
 	services       int          // services on the worker
+	overcommitted  int          // attempts, see attempt.overcommitted
 	shortUses      []shortUse   // one for each priority
 	pastFillers    []pastFiller // fillers that ended recently
 
@@ -293,6 +294,9 @@
 	}
 	w.silentNoticed = time.Time{}
 	c.handleEnded(w, r.Hold, now)
+	if !w.adopted {
+		w.restoreSpeeds()
+	}
 	c.reconcileActive(w, r.Hold, r.Command.SentAt, now)
 	c.learnSpeed(w, now)
 	if !w.adopted {
