scheduler: a task is stalled only if an answer shows it

Found in review, older: a worker without services answers every 1.5 s, which is also the time without progress after which a task was stopped as stalled, so that a sound task was stopped between two answers. The newest answer must now show it without progress for that long.

--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -15,10 +15,9 @@
 	// stayPercent is the progress from which a task stays on a draining worker,
 	// which continues to run for seconds.
 	stayPercent = 50
-	// stallTime is how long a task may show no progress at full speed; at half of it, twice
-	// as long. Progress is
-	// reported in percent, and one percent of a long task takes a tenth of a
-	// second.
+	// stallTime is for how long answers of a worker may show a task without progress at full
+	// speed; at half of it, twice as long. Progress is reported in percent, and one percent
+	// of a long task takes a tenth of a second.
 	stallTime = 1500 * time.Millisecond
 	// longRunningStartTime is how long a long-running task may take to start
 	// serving.
@@ -51,7 +50,7 @@
 // stalled reports whether an attempt makes no progress on a worker that answers.
 func (a *attempt) stalled(now time.Time) bool {
 	from, may := a.stalledFrom()
-	return may && now.After(from) && now.Sub(a.measuredAt) <= holdWait
+	return may && a.measuredAt.After(from) && now.Sub(a.measuredAt) <= holdWait
 }
 
 // stalledFrom returns the time after which an attempt is stalled if it makes no progress
