scheduler: searches for idle jobs that fit nowhere are bounded; counters are checked

It is searched for every 0.5 s. The check of the state recounts the attempts of jobs and the overcommitted ones of steps.

TestSpeedOfFillerIsRestoredAtTakeover looked at any one of seven tasks, of which the CPU sufficed for six at full speed; it now looks at the slowest, with CPU for all.

--- a/internal/scheduler/consistency.go
+++ b/internal/scheduler/consistency.go
@@ -22,7 +22,7 @@
 		if !s.round.job.active() {
 			continue
 		}
-		unfinished, waiting := 0, 0
+		unfinished, waiting, overcommitted := 0, 0, 0
 		for _, t := range s.tasks {
 			if t.done {
 				continue
@@ -32,15 +32,34 @@
 				waiting++
 			}
 			for _, a := range t.attempts {
+				if a.overcommitted {
+					overcommitted++
+				}
 				if a.worker.slot == removedSlot || a.worker.attempts[a.attemptID] != a {
 					add("%s is assigned to %s, which does not have it", a.attemptID, a.worker.id)
 				}
 			}
 		}
+		if overcommitted != s.overcommitted {
+			add("step %d of %s has %d overcommitted attempts, counted %d", s.index, s.round.job.sub.GetId(), overcommitted, s.overcommitted)
+		}
 		if unfinished != s.unfinished || waiting != s.waiting {
 			add("step %d of %s has %d unfinished and %d waiting tasks, counted %d and %d", s.index, s.round.job.sub.GetId(), unfinished, waiting, s.unfinished, s.waiting)
 		}
 	}
+	for _, j := range c.jobs {
+		attempts := 0
+		for _, r := range j.rounds {
+			for _, s := range r.steps {
+				for _, t := range s.tasks {
+					attempts += len(t.attempts)
+				}
+			}
+		}
+		if attempts != j.attempts {
+			add("%s has %d attempts, counted %d", j.sub.GetId(), attempts, j.attempts)
+		}
+	}
 	listed := make(map[*step]bool, len(c.ready)+len(c.blocked))
 	for _, list := range [][]*step{c.ready, c.blocked} {
 		for _, s := range list {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -60,6 +60,7 @@
 	// overcommitted counts the attempts that were started without free CPU and still run
 	// at a reduced speed.
 	overcommitted int
+	overcommitAt  time.Time // until then no worker is searched for an overcommitted task
 	// explainedAt is when it was last logged why tasks of the step wait.
 	explainedAt time.Time
 }
--- a/internal/scheduler/overcommit.go
+++ b/internal/scheduler/overcommit.go
@@ -17,6 +17,9 @@
 	// overcommitMaxUse is the share of a pool's CPU that work other than fillers may
 	// request. Jobs of fillers must not wait on a pool of which less than half is in use.
 	overcommitMaxUse = 0.6
+	// overcommitRetry is the time between two searches for a worker for a step of which none
+	// may run a task.
+	overcommitRetry = 500 * time.Millisecond
 	// overcommitChoices is the number of suitable workers that are compared for a task.
 	overcommitChoices = 8
 )
@@ -37,7 +40,7 @@
 	unplaced := make(map[string]Resources) // by pool, a request that no worker had room for
 	for _, s := range idle {
 		q := p.core.queue(s.round.job)
-		if q == nil || s.round.job.attempts > 0 || !p.sparesCPU(q.Pool) {
+		if q == nil || s.round.job.attempts > 0 || p.now.Before(s.overcommitAt) || !p.sparesCPU(q.Pool) {
 			continue
 		}
 		if size, found := unplaced[q.Pool]; found && size.FitsIn(s.size) {
@@ -49,8 +52,12 @@
 		}
 		t := s.tasks[n]
 		_, plain := requirementsOf(s, q.Pool)
-		if !p.overcommitTask(t, q) && plain && q.Advice == nil && !t.suspect() {
+		switch {
+		case p.overcommitTask(t, q):
+		case plain && q.Advice == nil && !t.suspect():
 			unplaced[q.Pool] = s.size
+		default:
+			s.overcommitAt = p.now.Add(overcommitRetry)
 		}
 	}
 }
--- a/internal/scheduler/overcommit_test.go
+++ b/internal/scheduler/overcommit_test.go
@@ -27,7 +27,7 @@
 	sim.submit(simJob(1, spec))
 	sim.run(2 * time.Second)
 	for n := range 2 {
-		filler := simStepSpec(int32(7-6*n), (8000-service/2)/7)
+		filler := simStepSpec(int32(7-6*n), (7800-service/2)/7+int64(200*n))
 		filler.Filler, filler.Checkpoints, filler.Image = true, true, "filler"
 		sim.submit(simJob(100+n, filler))
 		sim.run(500 * time.Millisecond)
@@ -35,16 +35,17 @@
 	return sim
 }
 
-// speedOf returns the speed of the fillers of a job, zero if none runs.
+// speedOf returns the lowest speed of the fillers of a job, zero if none runs.
 func (sim *simulation) speedOf(job int) int {
+	lowest := 0
 	for _, sw := range sim.workers {
 		for _, r := range sw.active {
-			if imageOf(r.attemptID) == job {
-				return r.speed
+			if imageOf(r.attemptID) == job && (lowest == 0 || r.speed < lowest) {
+				lowest = r.speed
 			}
 		}
 	}
-	return 0
+	return lowest
 }
 
 // Guards against an overcommitted task that stays at its low speed although its worker has
