--- a/internal/scheduler/overcommit_test.go
+++ b/internal/scheduler/overcommit_test.go
@@ -94,6 +94,9 @@
 	sim.run(1500 * time.Millisecond)
 	c.Assert(sim.speedOf(101), qt.Equals, overcommitSpeed)
 	sim.takeOver()
+	sim.core.RestoreInterference(&pb.StoredPairs{Services: []*pb.StoredService{
+		{Image: "service", Floor: 0.22, Weights: []*pb.StoredWeight{{Filler: "filler", Mean: 0, Variance: 0.001}}},
+	}})
 	sim.run(time.Second)
 	c.Check(sim.speedOf(101), qt.Equals, overcommitSpeed)
 	c.Check(sim.speedOf(100), qt.Equals, 100)
