scheduler: no fillers start right after others were evicted for a service

A service that is measured at its target in the answer to an eviction let other fillers start within 0.1 s, with an overrun that began at zero. It then missed its target for two overruns in a row. The worker now refuses fillers until it was measured without any.

--- a/internal/scheduler/disabled.go
+++ b/internal/scheduler/disabled.go
@@ -28,6 +28,7 @@
 	countFromMeasurement bool // an overrun begins with its first measurement
 	ignoreMargins        bool // fillers with and without slack are placed alike
 	ignoreOverdue        bool // fillers are evicted only upon a measurement
+	refillAfterEviction  bool // fillers start right after others were evicted for a service
 	trustSpeeds          bool // throttle commands without an answer are not repeated
 	relieveTightest      bool // only the service with the least slack is relieved
 	quarantineAll        bool // all workers of a pool may be quarantined at once
--- a/internal/scheduler/feasibility.go
+++ b/internal/scheduler/feasibility.go
@@ -16,7 +16,7 @@
 	// services holds one entry for each service image on the worker.
 	services []predicted
 	// overTarget is set if a service there misses its target now, maybe because of fillers,
-	// and overAlone if one does whatever fillers do.
+	// or did when fillers were evicted, and overAlone if one does whatever fillers do.
 	overTarget, overAlone bool
 	// reserved is set if the worker is reserved for a starving task that does not
 	// fit yet.
@@ -85,6 +85,7 @@
 	if cand.worker.services == 0 {
 		return
 	}
+	cand.overTarget = cand.worker.refusesFillers
 	for _, a := range cand.worker.list {
 		if a.serving() {
 			cand.addService(a)
--- /dev/null
+++ b/internal/scheduler/harm_restart_test.go
@@ -0,0 +1,64 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// longestHarmOverGaps returns the longest time for which a service misses its target beside
+// fillers of the given duration, of which others wait. Times without fillers that are shorter
+// than a measurement don't end it. The service is measured at its target for as long as the
+// measurement covers fillers: 45.4 ms is reported as 45.
+func longestHarmOverGaps(disabled disabledRules, work, run time.Duration) (longest time.Duration, started int) {
+	sim := newSimulation(1, 1)
+	sim.disabled, sim.core.disabled = disabled, disabled
+	sim.taskFor = func(r AttemptID) simTask {
+		if imageOf(r) == 1 {
+			return simTask{longRunning: true, latencyMS: harmlessMS}
+		}
+		return simTask{work: work}
+	}
+	sim.onStart = func(AttemptID, *simWorker) { started++ }
+	service := simStepSpec(1, 1600)
+	service.Lasting, service.LatencyTargetMs, service.Image = true, harmTargetMS, "service"
+	sim.submit(simJob(1, service))
+	sim.run(3 * time.Second)
+	filler := simStepSpec(60, 100) // its predicted rise is below minThrottleRise
+	filler.Filler, filler.Image, filler.EstimateMs, filler.Spread = true, "filler", work.Milliseconds(), 1
+	sim.submit(simJob(102, filler))
+	var from, harmed time.Duration
+	for at := time.Duration(0); at < run; at += simStep {
+		sim.step()
+		for _, r := range sim.workers[0].active {
+			if !r.task.longRunning && r.speed > 50 {
+				harmed = at
+			}
+		}
+		if at-harmed >= measureWindow {
+			from = at
+		}
+		longest = max(longest, at-from)
+		for _, r := range sim.workers[0].active {
+			if r.task.longRunning {
+				r.task.latencyMS = harmlessMS
+				if at-harmed < measureWindow {
+					r.task.latencyMS = harmTargetMS
+				}
+			}
+		}
+	}
+	return longest, started
+}
+
+// Guards against a service that misses its target without end since other fillers start
+// as soon as those beside it are evicted.
+func TestHarmIsBoundedAfterEviction(t *testing.T) {
+	longest, started := longestHarmOverGaps(disabledRules{}, time.Minute, 20*time.Second)
+	without, _ := longestHarmOverGaps(disabledRules{refillAfterEviction: true}, time.Minute, 20*time.Second)
+	t.Logf("longest harm %v, %v without the rule, %d starts", longest, without, started)
+	qt.Check(t, longest < 4*time.Second, qt.IsTrue)
+	qt.Check(t, without > 4*time.Second, qt.IsTrue)
+	qt.Check(t, started >= 5, qt.IsTrue) // others start once it is measured without fillers
+}
--- a/internal/scheduler/interference.go
+++ b/internal/scheduler/interference.go
@@ -128,6 +128,9 @@
 // learn updates the model and the overruns from the new measurements of a worker.
 func (c *Core) learn(w *worker, now time.Time) {
 	shares := w.measuredShares(now)
+	if w.fillerCPU == 0 && now.Sub(w.fillersEndedAt) >= measureWindow {
+		w.refusesFillers = false
+	}
 	for _, a := range w.list {
 		if !a.serving() || a.measuredAt != now || a.measured <= 0 || a.progress < 100 {
 			continue
@@ -323,6 +326,7 @@
 		c.stop(f, "a service on its worker misses its target", now)
 	}
 	over.overrun.Restart()
+	w.refusesFillers, w.changed = w.fillerCPU > 0 && !c.disabled.refillAfterEviction, true
 	for _, a := range w.list {
 		// With fillers to stop, it is open again whether they are the cause.
 		a.overAlone = a.overAlone && w.fillerCPU == 0
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -48,6 +48,9 @@
 	fillersSince time.Time
 	// fillersEndedAt is when the last of the worker's fillers ended, zero if it has had none.
 	fillersEndedAt time.Time
+	// refusesFillers is set from an eviction of all fillers until the services were measured
+	// without any. What started earlier would take over the harm of those evicted.
+	refusesFillers bool
 	services       int          // services on the worker
 	shortUses      []shortUse   // one for each priority
 	pastFillers    []pastFiller // fillers that ended recently
@@ -252,8 +255,12 @@
 	silent := !w.silentSince.IsZero() && now.Sub(w.silentSince) > renewWhileSilent
 	if w.adopted && !silent {
 		o.Wait = holdWait
-		if w.services > 0 && w.fillerCPU > 0 {
-			o.Wait = holdWaitServices
+		switch {
+		case w.services == 0:
+		case w.refusesFillers:
+			o.Wait = measureWindow
+		case w.fillerCPU > 0 || now.Sub(w.fillersEndedAt) < holdWait:
+			o.Wait = holdWaitServices // others may start at any time
 		}
 		if len(w.attempts) > 0 {
 			o.Lease = w.clockNow(now) + c.opts.Lease
