scheduler: an overrun goes on if fillers follow others without a pause

Each first filler on a worker began the overruns of its services anew, also if the one before had ended just then. Beside short fillers that follow one another, a service that is just over its target was never relieved.

--- a/internal/scheduler/harm_restart_test.go
+++ b/internal/scheduler/harm_restart_test.go
@@ -62,3 +62,12 @@
 	qt.Check(t, without > 4*time.Second, qt.IsTrue)
 	qt.Check(t, started >= 5, qt.IsTrue) // others start once it is measured without fillers
 }
+
+// Guards against an overrun that is counted anew with each of several short fillers that
+// follow one another without a pause.
+func TestHarmIsBoundedOverShortFillers(t *testing.T) {
+	longest, started := longestHarmOverGaps(disabledRules{}, time.Second, 20*time.Second)
+	t.Logf("longest harm %v, %d starts", longest, started)
+	qt.Check(t, longest < 4*time.Second, qt.IsTrue)
+	qt.Check(t, started >= 10, qt.IsTrue)
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -43,8 +43,8 @@
 	// fillers are summed separately, since they don't count against capacity.
 	used      Resources
 	fillerCPU int64
-	// fillersSince is since when the worker has had fillers without a break, zero if
-	// that is not known.
+	// fillersSince is since when the worker has had fillers without a break that a
+	// measurement shows, zero if that is not known.
 	fillersSince time.Time
 	// fillersEndedAt is when the last of the worker's fillers ended, zero if it has had none.
 	fillersEndedAt time.Time
@@ -97,7 +97,7 @@
 	s := a.step()
 	size := Resources{s.size.CPUMilli * sign, s.size.MemoryMiB * sign, s.size.Accelerators * sign}
 	if s.filler() {
-		if w.fillerCPU == 0 {
+		if w.fillerCPU == 0 && w.newestStart.Sub(w.fillersEndedAt) >= measureWindow {
 			w.fillersSince = w.newestStart
 			for _, a := range w.list {
 				a.overrun.Restart() // what came before is not due to fillers
