--- a/internal/scheduler/harm_restart_test.go
+++ b/internal/scheduler/harm_restart_test.go
@@ -71,3 +71,28 @@
 	qt.Check(t, longest < 4*time.Second, qt.IsTrue)
 	qt.Check(t, started >= 10, qt.IsTrue)
 }
+
+// Guards against fillers that start while one of those evicted before them still runs, since
+// its stop was lost: the service then misses its target beside both without a pause.
+func TestHarmIsBoundedIfStopIsLost(t *testing.T) {
+	longest := func(disabled disabledRules) time.Duration {
+		h := harmCase{measured: func(time.Duration) int64 { return harmTargetMS }, fillers: 8, cpu: 100, work: time.Minute}
+		lost := make(map[Command]bool)
+		h.event = func(sim *simulation, _ time.Duration) {
+			sim.faultOf = func(o Command) simFault {
+				first := Command{Kind: o.Kind, AttemptID: o.AttemptID}
+				if (o.Kind == CommandStop || o.Kind == CommandThrottle) && o.AttemptID.Task == 0 && !lost[first] {
+					lost[first] = true
+					return dropCommand
+				}
+				return noFault
+			}
+		}
+		_, d := h.longestHarm(disabled, 15*time.Second)
+		return d
+	}
+	with, without := longest(disabledRules{}), longest(disabledRules{refillAfterEviction: true})
+	t.Logf("longest harm %v, %v without the rule", with, without)
+	qt.Check(t, with < 4*time.Second, qt.IsTrue)
+	qt.Check(t, without > 4*time.Second, qt.IsTrue)
+}
