--- a/internal/scheduler/feasibility.go
+++ b/internal/scheduler/feasibility.go
@@ -16,9 +16,9 @@
 	// services holds one entry for each service image on the worker.
 	services []predicted
 	// overTarget is set if a service there misses its target now, maybe because of fillers,
-	// and overAlone if one does whatever fillers do.
+	// or did when fillers were evicted, and overAlone if one does whatever fillers do.
 	overTarget, overAlone bool
-	// fillersRun is set if a filler there is not being stopped.
+	// fillersRun is set if a filler there is not being stopped, nor all of them were.
 	fillersRun bool
 	// reserved is set if the worker is reserved for a starving task that does not
 	// fit yet.
@@ -87,8 +87,9 @@
 	if cand.worker.services == 0 {
 		return
 	}
+	cand.overTarget = cand.worker.refusesFillers
 	for _, a := range cand.worker.list {
-		cand.fillersRun = cand.fillersRun || a.step().filler() && a.stopReason == ""
+		cand.fillersRun = cand.fillersRun || a.step().filler() && a.stopReason == "" && !cand.worker.refusesFillers
 		if a.serving() {
 			cand.addService(a)
 			cand.overTarget = cand.overTarget || a.overrun.Missing() && !a.overAlone
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -43,11 +43,14 @@
 	// fillers are summed separately, since they don't count against capacity.
 	used      Resources
 	fillerCPU int64
-	// fillersSince is since when the worker has had fillers without a break, zero if
-	// that is not known.
+	// fillersSince is since when the worker has had fillers without a break that a
+	// measurement shows, zero if that is not known.
 	fillersSince time.Time
 	// fillersEndedAt is when the last of the worker's fillers ended, zero if it has had none.
 	fillersEndedAt time.Time
+	// refusesFillers is set from an eviction of all fillers until the services were measured
+	// without any. What started earlier would take over the harm of those evicted.
+	refusesFillers bool
 	services       int          // services on the worker
 	overcommitted  int          // attempts, see attempt.overcommitted
 	shortUses      []shortUse   // one for each priority
@@ -95,7 +98,7 @@
 	s := a.step()
 	size := Resources{s.size.CPUMilli * sign, s.size.MemoryMiB * sign, s.size.Accelerators * sign}
 	if s.filler() {
-		if w.fillerCPU == 0 {
+		if w.fillerCPU == 0 && w.newestStart.Sub(w.fillersEndedAt) >= measureWindow {
 			w.fillersSince = w.newestStart
 			for _, a := range w.list {
 				a.overrun.Restart() // what came before is not due to fillers
@@ -253,8 +256,12 @@
 	silent := !w.silentSince.IsZero() && now.Sub(w.silentSince) > renewWhileSilent
 	if w.adopted && !silent {
 		o.Wait = holdWait
-		if w.services > 0 && (w.fillerCPU > 0 || now.Sub(w.fillersEndedAt) < holdWait) {
-			o.Wait = holdWaitServices
+		switch {
+		case w.services == 0:
+		case w.refusesFillers:
+			o.Wait = measureWindow
+		case w.fillerCPU > 0 || now.Sub(w.fillersEndedAt) < holdWait:
+			o.Wait = holdWaitServices // others may start at any time
 		}
 		if len(w.attempts) > 0 {
 			o.Lease = w.clockNow(now) + c.opts.Lease
