scheduler: an attempt ends when its start comes too late

Callers saw jobs of which nothing ran for as long as a worker answered holds but neither starts nor stops. The attempt there may start late, so that it counted as assigned until a stop was answered, without a bound.

The lease that a start carries is a time on the worker's clock, after which the worker refuses the start. An answer to a hold from after that time, with the 50 ms for rounding, that lists neither the attempt nor its end shows that it has not run and can't any more: it is lost as not_started. The task avoids the worker, and three such attempts in a row quarantine it. An answer with as many ends as fit (500) shows nothing, since the attempt's may be missing, and neither does the clock of a worker that has restarted since.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -72,6 +72,7 @@
 	a.sentAt, a.progressAt, w.newestStart = now, now, now
 	lease := w.clockNow(now) + c.opts.startLease()
 	c.grant(w, lease, now)
+	a.startLease = lease
 	w.commandsInFlight++
 	a.job().starts.sent++
 	s := a.step()
@@ -276,36 +277,10 @@
 			a.task.checkpoint = row.Checkpoint
 		}
 	}
-	unlisted := func(a *attempt) bool {
-		return a.listedIn != w.answers && a.recorded && a.endedIfUnlisted(w, hold.Clock, sentAt)
-	}
-	if slices.ContainsFunc(w.list, unlisted) {
-		for _, a := range slices.Clone(w.list) {
-			if unlisted(a) {
-				c.loseAttempt(a, lossUnlisted, now)
-			}
-		}
-	}
+	c.loseUnlisted(w, hold, sentAt, now)
 	c.observe(w, now)
 }
 
-// endedIfUnlisted reports whether an attempt that a worker doesn't list in the
-// answer to a hold has ended and can't start any more. That is so if its start or
-// its stop was answered, or it was listed, before the hold was sent, or if this
-// answer is the worker's first to this owner's token, since the worker then refuses
-// starts that an earlier owner has sent. A list that was made before the newest answer
-// about the attempt shows nothing, whenever its hold was sent.
-func (a *attempt) endedIfUnlisted(w *worker, clock time.Duration, sentAt time.Time) bool {
-	if !w.adopted {
-		return true
-	}
-	if clock <= a.knownClock {
-		return false
-	}
-	before := func(t time.Time) bool { return !t.IsZero() && t.Before(sentAt) }
-	return before(a.startedAt) || before(a.stoppedAt) || before(a.seenAt)
-}
-
 // noteClock records the worker's clock in the answer to a command for the attempt. A
 // command that was sent before the worker restarted, or that another worker refused, may
 // have been answered on another clock.
--- a/internal/scheduler/disabled.go
+++ b/internal/scheduler/disabled.go
@@ -8,6 +8,8 @@
 	expireSilent         bool // attempts on a silent worker count as lost at once
 	startUnrecorded      bool // starts are sent before they are recorded
 	trustUnanswered      bool // a start without an answer counts as never carried out
+	waitForAnswers       bool // an attempt whose start and stops have no answer may start at any time
+	trustLists           bool // an attempt without an answer that is not listed can't start any more
 	discardUnrecorded    bool // workers discard ends before they are recorded
 	keepCursor           bool // a restarted worker is sent the cursor from before its restart
 	skipEvacuation       bool // tasks stay on a draining worker
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -107,17 +107,20 @@
 	placedAt       time.Time
 	incarnation    int64     // of the worker when the attempt was placed, zero if unknown
 	sentAt         time.Time // when the start was sent
-	startedAt      time.Time // when the start was answered, zero while it may be in flight
-	seenAt         time.Time // when the worker first listed it
-	listedIn       int64     // number of the worker's newest answer that listed it
-	stopReason     string    // why it is being stopped, empty while it may run
-	stopSentAt     time.Time // when the newest stop was sent
-	stopPending    bool      // a stop is on its way, or waits to be sent
-	stoppedAt      time.Time // when a stop was answered
-	loss           lossCause // why it counts as lost, empty otherwise
-	crash          *crash    // of its worker, nil unless the worker was lost under it
-	trial          bool      // its task was a suspect when it was placed
-	copy           bool      // another attempt at its task was active when it was placed
+	// startLease is the lease that the start carries, zero if it is not known or if the
+	// worker has restarted since, with another clock.
+	startLease  time.Duration
+	startedAt   time.Time // when the start was answered, zero while it may be in flight
+	seenAt      time.Time // when the worker first listed it
+	listedIn    int64     // number of the worker's newest answer that listed it
+	stopReason  string    // why it is being stopped, empty while it may run
+	stopSentAt  time.Time // when the newest stop was sent
+	stopPending bool      // a stop is on its way, or waits to be sent
+	stoppedAt   time.Time // when a stop was answered
+	loss        lossCause // why it counts as lost, empty otherwise
+	crash       *crash    // of its worker, nil unless the worker was lost under it
+	trial       bool      // its task was a suspect when it was placed
+	copy        bool      // another attempt at its task was active when it was placed
 
 	// knownClock is the worker's clock in its newest answer to a start or a stop of the
 	// attempt, or that listed it.
--- a/internal/scheduler/loss.go
+++ b/internal/scheduler/loss.go
@@ -1,6 +1,12 @@
 package scheduler
 
-import "time"
+import (
+	"slices"
+	"time"
+)
+
+// maxListedEnds is the number of ends that the answer to a hold lists at most.
+const maxListedEnds = 500
 
 // lossCause is the reason why an attempt counts as lost.
 type lossCause string
@@ -10,8 +16,62 @@
 	lossReplaced     lossCause = "address_taken" // another worker answers at the address
 	lossLeaseExpired lossCause = "lease_expired"
 	lossUnlisted     lossCause = "unlisted" // the worker answers and doesn't list it
+	// lossNotStarted is the cause if the worker answers, doesn't list the attempt or its
+	// end, and refuses its start by now.
+	lossNotStarted lossCause = "not_started"
 )
 
+// loseUnlisted ends the attempts that a worker doesn't list in the answer to a hold
+// although they are not active there any more, or never were.
+func (c *Core) loseUnlisted(w *worker, hold *HoldReply, sentAt, now time.Time) {
+	cause := func(a *attempt) lossCause {
+		switch {
+		case a.listedIn == w.answers || !a.recorded:
+			return ""
+		case a.endedIfUnlisted(w, hold.Clock, sentAt):
+			return lossUnlisted
+		case a.notStartedIfUnlisted(hold, c.disabled.trustLists) && !c.disabled.waitForAnswers:
+			return lossNotStarted
+		default:
+			return ""
+		}
+	}
+	if !slices.ContainsFunc(w.list, func(a *attempt) bool { return cause(a) != "" }) {
+		return
+	}
+	for _, a := range slices.Clone(w.list) {
+		if why := cause(a); why != "" {
+			c.loseAttempt(a, why, now)
+		}
+	}
+}
+
+// endedIfUnlisted reports whether an attempt that a worker doesn't list in the
+// answer to a hold has ended and can't start any more. That is so if its start or
+// its stop was answered, or it was listed, before the hold was sent, or if this
+// answer is the worker's first to this owner's token, since the worker then refuses
+// starts that an earlier owner has sent. A list that was made before the newest answer
+// about the attempt shows nothing, whenever its hold was sent.
+func (a *attempt) endedIfUnlisted(w *worker, clock time.Duration, sentAt time.Time) bool {
+	if !w.adopted {
+		return true
+	}
+	if clock <= a.knownClock {
+		return false
+	}
+	before := func(t time.Time) bool { return !t.IsZero() && t.Before(sentAt) }
+	return before(a.startedAt) || before(a.stoppedAt) || before(a.seenAt)
+}
+
+// notStartedIfUnlisted reports whether an attempt that a worker doesn't list in the answer
+// to a hold, nor its end, has never run and can't start any more. That is so if the lease
+// that its start carries was over when the worker made the list: it refuses such a start.
+// A list with as many ends as fit may lack the attempt's.
+func (a *attempt) notStartedIfUnlisted(hold *HoldReply, trustLists bool) bool {
+	return a.startLease > 0 && a.startedAt.IsZero() && a.seenAt.IsZero() && len(hold.Ended) < maxListedEnds &&
+		(trustLists || hold.Clock > a.startLease+leaseSlack)
+}
+
 // loseAttempt ends an attempt that its worker no longer runs. Its task has waited since
 // the worker fell silent.
 func (c *Core) loseAttempt(a *attempt, cause lossCause, now time.Time) {
@@ -21,6 +81,11 @@
 		// the attempt has not run there.
 		a.task.limitedStarts--
 	}
+	if cause == lossNotStarted {
+		a.task.limitedStarts--
+		a.task.avoid = a.worker.id
+		c.countAgainst(a.worker, quarantineFailures, now)
+	}
 	since := c.silentAt(a.worker, now)
 	served := a.task.servedAt
 	c.endAttempt(a, EndLost, "", now)
--- a/internal/scheduler/simulated_worker_test.go
+++ b/internal/scheduler/simulated_worker_test.go
@@ -81,6 +81,16 @@
 	}
 }
 
+// executeLate lets a worker carry out a command after a delay, without an answer.
+func (sim *simulation) executeLate(sw *simWorker, o Command, delay time.Duration) {
+	incarnation := sw.incarnation // a restart also loses commands that have arrived
+	sim.after(delay, func() {
+		if sw.incarnation == incarnation {
+			sw.execute(o, func(CommandResult) {})
+		}
+	})
+}
+
 func (sw *simWorker) advance() {
 	if sw.sim.now.After(sw.lease) {
 		sw.expiredAt = sw.sim.now
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -88,6 +88,7 @@
 	noFault simFault = iota
 	dropCommand
 	loseReply
+	delayCommand // carried out up to 6 s later, without an answer
 )
 
 // simTask is how a task behaves on a worker.
@@ -341,16 +342,14 @@
 	case fault == loseReply:
 		lost()
 		sim.after(simStep, func() { target.execute(o, func(CommandResult) {}) })
+	case fault == delayCommand:
+		lost()
+		sim.executeLate(target, o, time.Duration(sim.rng.IntN(6000))*time.Millisecond)
 	case x < sim.faults.drop:
 		lost()
 	case x < sim.faults.drop+sim.faults.late:
 		lost()
-		incarnation := target.incarnation // a restart also loses commands that have arrived
-		sim.after(time.Duration(2000+sim.rng.IntN(10_000))*time.Millisecond, func() {
-			if target.incarnation == incarnation {
-				target.execute(o, func(CommandResult) {})
-			}
-		})
+		sim.executeLate(target, o, time.Duration(2000+sim.rng.IntN(10_000))*time.Millisecond)
 	case x < sim.faults.drop+sim.faults.late+sim.faults.loseReply || sim.loseReplyOf != nil && sim.loseReplyOf(o):
 		lost()
 		sim.after(simStep, func() { target.execute(o, func(CommandResult) {}) })
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -347,7 +347,7 @@
 	c.forgetSpeed(w, now)
 	c.workerCrashed(w, now)
 	for _, a := range slices.Clone(w.list) {
-		a.knownClock = 0
+		a.knownClock, a.startLease = 0, 0
 		// A start that the worker had not listed yet may have reached it after its
 		// restart; the answers to the next holds show which.
 		if !a.seenAt.IsZero() {
