--- a/internal/scheduler/evacuation_test.go
+++ b/internal/scheduler/evacuation_test.go
@@ -15,6 +15,8 @@
 	domains     []string
 	requestedAt map[string]time.Time // by domain
 	down        bool                 // requests don't reach the owner
+	// overdue is the time for which a domain was evacuated for longer than the bound.
+	overdue time.Duration
 }
 
 // evacuate replaces the set of evacuated failure domains.
@@ -32,6 +34,12 @@
 
 // passEvacuations passes the requests to the owner, unless it can't read them.
 func (sim *simulation) passEvacuations() {
+	for _, at := range sim.evacuations.requestedAt {
+		if sim.now.Sub(at) > sim.evacuations.bound {
+			sim.evacuations.overdue += simStep
+			break
+		}
+	}
 	if !sim.evacuations.down {
 		sim.core.SetEvacuations(sim.evacuations.domains, sim.now)
 		sim.core.RequestsRead(sim.now, sim.now)
