scheduler: a worker that answers again is used at once

Callers saw tasks wait for up to 1.75 s longer than a worker was away, after it had restarted or had dropped a connection, although it had room.

The hold that is sent 250 ms after one without an answer asked the worker to wait 1.5 s for an end, like any other. Until its answer the worker counts as silent and receives no work, and an idle or restarted one has no end to report. A hold to a worker that counts as silent does not wait, as was so already after 1.5 s of silence. The next one waits again.

TestWorkerUnusedAfterRestart fails without it (no start within 500 ms of the restart) and passes with it.

The histories of random faults, evacuations, crashes and kinds of jobs pass; the rest of the package was not run with it.

--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -251,9 +251,12 @@
 	}
 	silent := !w.silentSince.IsZero() && now.Sub(w.silentSince) > renewWhileSilent
 	if w.adopted && !silent {
-		o.Wait = holdWait
-		if w.services > 0 && w.fillerCPU > 0 {
+		switch {
+		case !w.silentSince.IsZero(): // no task starts there before the answer
+		case w.services > 0 && w.fillerCPU > 0:
 			o.Wait = holdWaitServices
+		default:
+			o.Wait = holdWait
 		}
 		if len(w.attempts) > 0 {
 			o.Lease = w.clockNow(now) + c.opts.Lease
