--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -257,6 +257,8 @@
 	if w.adopted && !silent {
 		o.Wait = holdWait
 		switch {
+		case !w.silentSince.IsZero():
+			o.Wait = 0 // no task starts there before the answer
 		case w.services == 0:
 		case w.refusesFillers:
 			o.Wait = measureWindow
@@ -357,7 +359,7 @@
 	c.forgetSpeed(w, now)
 	c.workerCrashed(w, now)
 	for _, a := range slices.Clone(w.list) {
-		a.knownClock = 0
+		a.knownClock, a.startLease = 0, 0
 		// A start that the worker had not listed yet may have reached it after its
 		// restart; the answers to the next holds show which.
 		if !a.seenAt.IsZero() {
