--- a/internal/scheduler/idle_jobs.go
+++ b/internal/scheduler/idle_jobs.go
@@ -2,12 +2,12 @@
 
 import "time"
 
-// restoredIdle is the longest time for which a job counts as idle at a takeover. The rest
-// of its wait lets more workers answer the new owner, so that they share the idle jobs.
+// restoredIdle limits the part of the wait of an idle job before a takeover that counts, so
+// that more workers have answered the new owner when it starts, and share the idle jobs.
 const restoredIdle = 600 * time.Millisecond
 
-// idleFor returns for how long a job with a ready step has had no attempt that may be
-// active, zero if it has one.
+// idleFor returns for how long the job of a ready step has had no attempt that may be
+// active, in any of its steps, zero if it has one.
 func (s *step) idleFor(now time.Time) time.Duration {
 	j := s.round.job
 	switch {
