--- a/internal/scheduler/consistency.go
+++ b/internal/scheduler/consistency.go
@@ -24,6 +24,11 @@
 		}
 		unfinished, waiting, overcommitted := 0, 0, 0
 		for _, t := range s.tasks {
+			for _, a := range t.attempts {
+				if a.overcommitted {
+					overcommitted++
+				}
+			}
 			if t.done {
 				continue
 			}
@@ -32,9 +37,6 @@
 				waiting++
 			}
 			for _, a := range t.attempts {
-				if a.overcommitted {
-					overcommitted++
-				}
 				if a.worker.slot == removedSlot || a.worker.attempts[a.attemptID] != a {
 					add("%s is assigned to %s, which does not have it", a.attemptID, a.worker.id)
 				}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -286,7 +286,9 @@
 	if !c.started || c.fenced {
 		return false
 	}
-	return c.planDue && now.Sub(c.plannedAt) >= planPause || now.Sub(c.plannedAt) >= planInterval
+	// While the caller is late, a pass just before may have left best-effort work out.
+	return c.planDue && now.Sub(c.plannedAt) >= planPause || now.Sub(c.plannedAt) >= planInterval ||
+		c.late && now.Sub(c.bestEffortAt) >= planInterval
 }
 
 // SetLate tells the core whether its caller is late with its inputs. While it is,
