--- a/internal/daemon/election.go
+++ b/internal/daemon/election.go
@@ -82,9 +82,9 @@
 }
 
 // runElection keeps the instance registered as a candidate and claims the
-// ownership when it is this instance's turn, until stopCtx ends. A claim or a term then
-// continues until termCtx ends. workCtx outlives both.
-func (i *Instance) runElection(stopCtx, termCtx, workCtx context.Context) {
+// ownership when it is this instance's turn, until stopCtx ends. workCtx outlives
+// stopCtx.
+func (i *Instance) runElection(stopCtx, workCtx context.Context) {
 	self := leader.Candidate{Instance: i.settings.GetInstance(), Address: i.peerAddress(), CPUMilli: i.cpuMilli()}
 	times := leader.Settings{UnownedDelay: claimUnownedDelay, StaggerDelay: claimStaggerDelay, SettleTime: claimSettleTime, UnlistedDelay: claimUnlistedDelay, SmallMachineDelay: claimSmallMachineDelay, YieldDelay: yieldDelay}
 	elector := leader.New(self, times)
@@ -101,7 +101,7 @@
 		if i.config.Load() != nil && elector.ClaimDue(time.Now()) {
 			candidates, err := i.candidates(stopCtx)
 			if err == nil && elector.ShouldClaim(candidates, time.Now()) {
-				i.claim(termCtx, workCtx, leader.New(self, times))
+				i.claim(stopCtx, workCtx, leader.New(self, times))
 				elector.RestartWait(time.Now())
 				continue
 			}
@@ -208,21 +208,21 @@
 }
 
 // claim claims the ownership and, if that succeeds, runs as the owner until the
-// ownership is lost or termCtx ends.
-func (i *Instance) claim(termCtx, workCtx context.Context, elector *leader.Elector) {
+// ownership is lost.
+func (i *Instance) claim(stopCtx, workCtx context.Context, elector *leader.Elector) {
 	start := time.Now()
 	// The membership without an epoch announces to the other candidates that a claim
 	// is in progress, so that they don't claim as well.
 	intent := member{Instance: i.settings.GetInstance(), Address: i.peerAddress(), CPUMilli: i.cpuMilli()}
-	if err := i.store.Join(termCtx, ownerGroup, intent.name(), i.ownerTTL()); err != nil {
+	if err := i.store.Join(stopCtx, ownerGroup, intent.name(), i.ownerTTL()); err != nil {
 		i.log.WithField("event", "claim failed").WithError(err).Warn("membership")
 		return
 	}
-	state, err := i.readAndClaim(termCtx)
+	state, err := i.readAndClaim(stopCtx)
 	owner := intent
 	owner.Epoch = state.epoch()
 	if err == nil {
-		if err := i.store.Join(termCtx, ownerGroup, owner.name(), i.ownerTTL()); err != nil {
+		if err := i.store.Join(stopCtx, ownerGroup, owner.name(), i.ownerTTL()); err != nil {
 			i.log.WithField("event", "owner listing failed").WithError(err).Warn("membership")
 		}
 	}
@@ -238,7 +238,7 @@
 	i.log.WithField("event", "claim won").WithField("epoch", state.owner.GetEpoch()).
 		WithField("took_ms", time.Since(start).Milliseconds()).Info("membership")
 	i.setOwner(state.owner)
-	i.runTerm(termCtx, workCtx, state, owner.name(), elector)
+	i.runTerm(stopCtx, workCtx, state, owner.name(), elector)
 }
 
 // ownerTTL returns the constant ownerTTL, or the shortest time to live that the
--- a/internal/daemon/owner_term.go
+++ b/internal/daemon/owner_term.go
@@ -94,8 +94,8 @@
 	}
 }
 
-// runTerm runs a term until the ownership is lost or termCtx ends.
-func (i *Instance) runTerm(termCtx, workCtx context.Context, s *storedState, memberName string, elector *leader.Elector) {
+// runTerm runs a term until the ownership is lost or stopCtx ends.
+func (i *Instance) runTerm(stopCtx, workCtx context.Context, s *storedState, memberName string, elector *leader.Elector) {
 	ctx, cancel := context.WithCancel(workCtx)
 	defer cancel()
 	o := &ownerTerm{
@@ -133,7 +133,7 @@
 	run(func() { o.waitForEarlierOwners(s.owner) })
 	go func() {
 		select {
-		case <-termCtx.Done():
+		case <-stopCtx.Done():
 			o.endTerm("the instance is shutting down")
 		case <-ctx.Done():
 		}
