--- a/review/_standin3/mix.go
+++ b/review/_standin3/mix.go
@@ -224,6 +224,38 @@
 				_ = s.publish(routes, "pickbook", "other")
 			},
 		}
+		if os.Getenv("FOREIGN") != "" {
+			kinds = []func(){func() {
+				s.mu.Lock()
+				r := s.runners[intn(len(s.runners))]
+				e := r.entry()
+				s.mu.Unlock()
+				var value any = e
+				kind := intn(7)
+				switch kind {
+				case 0:
+					delete(e, "Capacity")
+				case 1:
+					e["State"] = "busy"
+				case 2:
+					e["Service"] = "ghost"
+					delete(e, "born")
+				case 3:
+					e["Labels"] = 7
+				case 4:
+					value = "unreadable"
+				case 5:
+					s.rec.add("another writer: servers/%s is removed", r.id)
+					s.store.Put("keyed.servers", r.id, nil)
+					return
+				case 6:
+					delete(e, "born")
+					delete(e, "Labels")
+				}
+				s.rec.add("another writer: servers/%s kind %d %v", r.id, kind, value)
+				_ = s.store.PutJSON("keyed.servers", r.id, value)
+			}}
+		}
 		every(900*time.Millisecond, func() { kinds[intn(len(kinds))]() })
 		every(1100*time.Millisecond, func() { kinds[intn(len(kinds))]() })
 		every(1500*time.Millisecond, func() { kinds[intn(len(kinds))]() })
