scheduler: rounds and tasks are opened when they are due

Callers saw: after five schedules of a round a minute for 30 days were accepted, no other job started any more and states were answered with 503.

Cause: the owner made all rounds of a job with all steps and tasks at acceptance and at each takeover, 78 MB for 172,800 tasks of which none was due, and released nothing before the retention of the job was over.

Change: a round is opened when it is due and closed when it is done, a step opens its tasks in portions from the time when it may start, and the stored state lists open rounds only, so that a new owner has the same bound.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -34,7 +34,9 @@
 	}
 	t.attempts = append(t.attempts, a)
 	t.step.round.job.attempts++
+	t.step.round.attempts++
 	t.lastAttempt = max(t.lastAttempt, number)
+	t.step.openMore()
 	w.add(a)
 	c.visitSoon(w)
 	return a
@@ -297,7 +299,7 @@
 	var t *task
 	j := c.jobs[attemptID.Job]
 	if j != nil {
-		t = j.taskOf(attemptID)
+		t = c.reopenTask(j, attemptID)
 	}
 	if t == nil {
 		w.commandsInFlight++
@@ -332,6 +334,8 @@
 	}
 	t.attempts = slices.DeleteFunc(t.attempts, func(o *attempt) bool { return o == a })
 	j.attempts--
+	t.step.round.attempts--
+	defer t.closeIfOver()
 	j.lastEnd, t.endedAt, t.waitedBefore = now, now, 0
 	if !a.overcommitted {
 		t.servedAt = now
--- a/internal/scheduler/begin_test.go
+++ b/internal/scheduler/begin_test.go
@@ -64,7 +64,7 @@
 			for range 5 {
 				sim.run(20 * time.Millisecond)
 				c.Check(sim.starts, qt.Equals, 0)
-				c.Check(sim.core.jobs[sub.GetId()].rounds[0].steps[0].tasks[0].lastAttempt > 0, qt.IsTrue)
+				c.Check(sim.firstTask(sub.GetId()).lastAttempt > 0, qt.IsTrue)
 				c.Check(sim.core.Waiting()["q"], qt.Equals, int64(1))
 				c.Check(sim.core.State(sub.GetId()), qt.Equals, pb.PublicState_PUBLIC_STATE_QUEUED)
 			}
--- a/internal/scheduler/completion.go
+++ b/internal/scheduler/completion.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"gooseberryreel/internal/pb"
@@ -11,7 +12,7 @@
 	s := t.step
 	if s.spec.GetGang() {
 		// The completion of one task completes the whole gang.
-		for _, other := range s.tasks {
+		for _, other := range slices.Clone(s.tasks) {
 			c.markDone(other, now)
 		}
 	} else {
@@ -33,7 +34,9 @@
 	}
 	t.done, t.crashes = true, nil
 	t.step.unfinished--
+	t.step.openMore()
 	c.markTaskChanged(t)
+	defer t.closeIfOver()
 	for _, a := range t.attempts {
 		if !t.step.spec.GetGang() {
 			c.stop(a, "another attempt has completed the task", now)
@@ -48,10 +51,13 @@
 		}
 	}
 	r.done = true
-	for _, other := range r.job.rounds {
-		if !other.done {
-			return
-		}
+	r.job.closeRounds()
+	c.finishIfDone(r.job, now)
+}
+
+// finishIfDone ends a job all of whose rounds are done.
+func (c *Core) finishIfDone(j *job, now time.Time) {
+	if j.nextRound == j.times() && !slices.ContainsFunc(j.rounds, func(r *round) bool { return !r.done }) {
+		c.finish(j, pb.JobPhase_JOB_PHASE_COMPLETED, "all tasks are done", now)
 	}
-	c.finish(r.job, pb.JobPhase_JOB_PHASE_COMPLETED, "all tasks are done", now)
 }
--- a/internal/scheduler/consistency.go
+++ b/internal/scheduler/consistency.go
@@ -22,7 +22,8 @@
 		if !s.round.job.active() {
 			continue
 		}
-		unfinished, waiting, overcommitted := 0, 0, 0
+		unopened := s.count() - s.nextTask
+		unfinished, waiting, overcommitted := unopened, unopened, 0
 		for _, t := range s.tasks {
 			for _, a := range t.attempts {
 				if a.overcommitted {
--- a/internal/scheduler/contention_test.go
+++ b/internal/scheduler/contention_test.go
@@ -70,6 +70,7 @@
 	urgent                     map[string]*urgentJob
 	fillers                    map[string]time.Time // due times of those that are not done
 	services                   map[string]*contendedService
+	serviceSteps               []*step
 	next                       int
 	due                        [3]float64
 	burst                      float64
@@ -146,8 +147,8 @@
 	}
 	r.meanWait = waits / time.Duration(max(n, 1))
 	r.fillers, r.fillersOnTime, r.starts = site.fillersDone, site.fillersOnTime, site.starts
-	for _, j := range sim.core.jobs {
-		if j.rounds[0].steps[0].heldBack {
+	for _, s := range site.serviceSteps {
+		if s.heldBack {
 			r.heldBack++
 		}
 	}
@@ -296,6 +297,7 @@
 	site.services[id] = &contendedService{submitted: site.sim.now, cancelAt: site.sim.now.Add(life), tasks: 14, started: make(map[int]time.Time)}
 	site.sim.submit(&pb.Submission{Id: id, Queue: "services", Service: "s", MaxAttempts: 3, Stretch: 2, TargetMs: 1000, Steps: []*pb.StepSpec{{
 		Tasks: 14, CpuMilli: contendedServiceCPU, MemoryMib: 3000, EstimateMs: 70_000, Lasting: true, Image: fmt.Sprintf("s%d", site.next%10), LatencyTargetMs: 22}}})
+	site.serviceSteps = append(site.serviceSteps, site.sim.core.jobs[id].rounds[0].steps[0])
 }
 
 // noteEnds notes when urgent jobs and fillers are shown as completed.
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -102,7 +102,8 @@
 	visited        []*worker       // in the newest tick
 
 	ready    []*step        // steps that are due, have no unfinished dependency and have tasks left
-	blocked  []*step        // steps that wait for a dependency or for their start time
+	blocked  []*step        // steps that wait for a dependency
+	upcoming upcomingRounds // jobs with rounds that are not open yet
 	changed  []*job         // jobs to be recorded
 	finished []*job         // finished jobs whose retention is not over, oldest first
 	removed  []string       // keys of records to be removed from the store
@@ -184,6 +185,7 @@
 		return
 	}
 	j := c.addJob(sub, now)
+	c.openDueRounds(j, now)
 	c.addLogEntry("job accepted", sub.GetRequestId(), "job", sub.GetId(), "queue", sub.GetQueue(), "steps", len(sub.GetSteps()), "priority", sub.GetPriority())
 	if _, cancelled := c.cancelled[sub.GetId()]; cancelled {
 		c.finish(j, pb.JobPhase_JOB_PHASE_CANCELLED, "cancelled before its submission was read", now)
@@ -192,26 +194,18 @@
 	c.planDue = true
 }
 
-// addJob adds a job with all its rounds. It returns nil if the job is known.
+// addJob adds a job without any open round. It returns nil if the job is known.
 func (c *Core) addJob(sub *pb.Submission, now time.Time) *job {
 	if c.jobs[sub.GetId()] != nil {
 		return nil
 	}
 	j := &job{sub: sub, phase: pb.JobPhase_JOB_PHASE_ACTIVE, received: now, visible: pb.PublicState_PUBLIC_STATE_QUEUED}
-	c.jobs[sub.GetId()] = j
-	tasks := 0
-	for n := range max(int(sub.GetTimes()), 1) {
-		r := newRound(j, n, j.dueAt(n, now))
-		j.rounds = append(j.rounds, r)
-		for _, s := range r.steps {
-			s.waiting, s.first = len(s.tasks), tasks
-			tasks += len(s.tasks)
-			c.setImageIndex(s)
-		}
-		c.blocked = append(c.blocked, r.steps...)
+	for _, spec := range sub.GetSteps() {
+		j.roundTasks += int(spec.GetTasks())
 	}
-	if tasks > c.blockTasks {
-		j.blocks = newTaskBlocks(j, c.blockTasks)
+	c.jobs[sub.GetId()] = j
+	if j.roundTasks*j.times() > c.blockTasks {
+		j.blocks = newTaskBlocks(c.blockTasks)
 	}
 	return j
 }
@@ -336,6 +330,7 @@
 			}
 		}
 	}
+	j.closeRounds()
 }
 
 // addLogEntry adds an entry to the output for the log.
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -15,9 +15,14 @@
 	starts   startCounts
 	received time.Time
 	endedAt  time.Time
-	rounds   []*round
-	attempts int       // at its tasks that may be active
-	lastEnd  time.Time // of an attempt
+	// rounds are the open ones, in the order of their numbers. All others below nextRound
+	// are done.
+	rounds     []*round
+	nextRound  int       // number of the first round that has not been opened
+	roundTasks int       // tasks of each round
+	opensAt    time.Time // see upcomingRounds
+	attempts   int       // at its tasks that may be active
+	lastEnd    time.Time // of an attempt
 	// idleBefore is for how long a task had waited at the takeover of this owner.
 	idleBefore time.Duration
 	// visible is the state that callers are shown: that of the newest confirmed
@@ -38,25 +43,33 @@
 	due    time.Time
 	steps  []*step
 	done   bool
+	// attempts counts those at its tasks that may be active.
+	attempts int
 }
 
 // step is a set of tasks with equal specifications.
 type step struct {
-	round      *round
-	index      int
-	first      int // number of the first task among all of the job
-	spec       *pb.StepSpec
-	size       Resources // requested by each task
-	image      int       // index of the image in the interference model
+	round *round
+	index int
+	first int // number of the first task among all of the job
+	spec  *pb.StepSpec
+	size  Resources // requested by each task
+	image int       // index of the image in the interference model
+	// tasks are the open ones, in the order of their indexes. All others below nextTask are
+	// done and have no attempts.
 	tasks      []*task
+	nextTask   int // index of the first task that has not been opened
 	unfinished int // tasks that are not done
 	waiting    int // tasks that are neither done nor assigned to a worker
 	readyAt    time.Time
-	heldBack   bool // a start was held back for urgent short work, see holdsBack
-	schedule   schedule
-	advice     *advice
-	near       nearStep
-	noRoom     noRoom
+	servedAt   time.Time // latest of the tasks that are not open any more, see task
+	// waitedBefore is that of tasks that are opened later, see task.
+	waitedBefore time.Duration
+	heldBack     bool // a start was held back for urgent short work, see holdsBack
+	schedule     schedule
+	advice       *advice
+	near         nearStep
+	noRoom       noRoom
 	// overcommitted counts the attempts that were started without free CPU and still run
 	// at a reduced speed.
 	overcommitted int
@@ -155,33 +168,6 @@
 func (a *attempt) step() *step    { return a.task.step }
 func (a *attempt) job() *job      { return a.task.step.round.job }
 
-// newRound returns a round with all its tasks.
-func newRound(j *job, number int, due time.Time) *round {
-	r := &round{job: j, number: number, due: due}
-	for i, spec := range j.sub.GetSteps() {
-		s := &step{
-			round: r, index: i, spec: spec, unfinished: int(spec.GetTasks()),
-			size: Resources{spec.GetCpuMilli(), spec.GetMemoryMib(), spec.GetAccelerators()},
-		}
-		s.tasks = make([]*task, spec.GetTasks())
-		for n := range s.tasks {
-			s.tasks[n] = &task{step: s, index: n}
-		}
-		r.steps = append(r.steps, s)
-	}
-	return r
-}
-
-// dueAt converts the wall-clock start time of a round to the monotonic clock of
-// now.
-func (j *job) dueAt(n int, now time.Time) time.Time {
-	if j.sub.GetTimes() == 0 {
-		return now
-	}
-	due := time.UnixMilli(j.sub.GetFirstAtMs() + int64(n)*j.sub.GetIntervalMs())
-	return now.Add(due.Sub(now.Round(0)))
-}
-
 // idOfAttempt returns the id of the task's attempt with a number.
 func (t *task) idOfAttempt(number int) AttemptID {
 	return AttemptID{Job: t.step.round.job.sub.GetId(), Round: t.step.round.number, Step: t.step.index, Task: t.index, Number: number}
@@ -204,6 +190,9 @@
 // without an attempt at any of its tasks, apart from overcommitted ones.
 func (s *step) starved(now time.Time) bool {
 	since := s.readyAt
+	if s.servedAt.After(since) {
+		since = s.servedAt
+	}
 	for _, t := range s.tasks {
 		for _, a := range t.attempts {
 			if !a.overcommitted {
@@ -235,25 +224,11 @@
 
 func (j *job) active() bool { return j.phase == pb.JobPhase_JOB_PHASE_ACTIVE }
 
-// roundByNumber returns the round with a number, nil if it does not exist.
-func (j *job) roundByNumber(n int) *round {
-	for _, r := range j.rounds {
-		if r.number == n {
-			return r
-		}
-	}
-	return nil
-}
-
-// taskOf returns the task of an attempt, nil if the job has no such task.
+// taskOf returns the open task of an attempt, nil if there is none.
 func (j *job) taskOf(id AttemptID) *task {
 	r := j.roundByNumber(id.Round)
 	if r == nil || id.Step < 0 || id.Step >= len(r.steps) {
 		return nil
 	}
-	s := r.steps[id.Step]
-	if id.Task < 0 || id.Task >= len(s.tasks) {
-		return nil
-	}
-	return s.tasks[id.Task]
+	return r.steps[id.Step].taskByIndex(id.Task)
 }
--- a/internal/scheduler/limited_starts_test.go
+++ b/internal/scheduler/limited_starts_test.go
@@ -24,7 +24,7 @@
 				sw.newestAttempt[AttemptID{Job: sub.GetId()}.TaskName()] = 12
 			}
 			sim.submit(sub)
-			task := func() *task { return sim.core.jobs[sub.GetId()].rounds[0].steps[0].tasks[0] }
+			task := func() *task { return sim.firstTask(sub.GetId()) }
 			for n := 1; n <= limitedCrashes; n++ { // by chance, beside young attempts at other tasks
 				task().crashes = append(task().crashes, crash{attempt: n, address: fmt.Sprint("10.0.0.", n, ":1"), age: time.Second})
 			}
--- a/internal/scheduler/locality.go
+++ b/internal/scheduler/locality.go
@@ -247,7 +247,7 @@
 	work, here := 0.0, 0.0
 	for i := len(steps) - 1; i >= 0; i-- {
 		expected[i] = fit.expect(steps[i].spec.GetEstimateMs())
-		amount := float64(len(steps[i].tasks)) * float64(steps[i].size.CPUMilli) * expected[i].Seconds()
+		amount := float64(steps[i].count()) * float64(steps[i].size.CPUMilli) * expected[i].Seconds()
 		work += amount
 		if steps[i] == s {
 			here = amount
--- a/internal/scheduler/long_running_takeover_test.go
+++ b/internal/scheduler/long_running_takeover_test.go
@@ -132,7 +132,9 @@
 			sub.Id, sub.Steps, sub.ReceivedMs = "j", []*pb.StepSpec{step, after}, now.Add(-test.age).UnixMilli()
 			core := New(Options{Epoch: 2, Lease: 6 * time.Second}, now)
 			core.Restore(sub, test.record, now)
-			qt.Assert(t, core.jobs["j"].rounds[test.round].steps[test.step].tasks[0].waitedBefore, qt.Equals, test.want)
+			s := core.jobs["j"].rounds[test.round].steps[test.step]
+			s.openMore()
+			qt.Assert(t, s.tasks[0].waitedBefore, qt.Equals, test.want)
 		})
 	}
 }
--- a/internal/scheduler/overcommit_test.go
+++ b/internal/scheduler/overcommit_test.go
@@ -108,13 +108,13 @@
 func TestHangingTaskAtLowSpeedIsReplaced(t *testing.T) {
 	sim := newFullSimulation(1600, time.Minute)
 	sim.run(1500 * time.Millisecond)
-	first := sim.core.jobs[simJob(101).GetId()].rounds[0].steps[0].tasks[0].lastAttempt
+	first := sim.firstTask(simJob(101).GetId()).lastAttempt
 	for range 2500 {
 		sim.step()
 		for _, r := range sim.workers[0].active {
 			r.stuck = r.stuck || imageOf(r.attemptID) == 101
 		}
 	}
-	last := sim.core.jobs[simJob(101).GetId()].rounds[0].steps[0].tasks[0].lastAttempt
+	last := sim.firstTask(simJob(101).GetId()).lastAttempt
 	qt.Check(t, last > first, qt.IsTrue, qt.Commentf("%d, %d", first, last))
 }
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -35,6 +35,7 @@
 // updateReady moves the blocked steps that may start now to the ready ones, and
 // drops finished steps and those of ended jobs.
 func (c *Core) updateReady(now time.Time) {
+	c.openUpcomingRounds(now)
 	c.ready = slices.DeleteFunc(c.ready, func(s *step) bool { return s.unfinished == 0 || !s.round.job.active() })
 	kept := c.blocked[:0]
 	for _, s := range c.blocked {
@@ -42,6 +43,7 @@
 		case s.unfinished == 0 || !s.round.job.active():
 		case s.mayStart(now):
 			s.readyAt = now
+			s.openMore()
 			c.ready = append(c.ready, s)
 		default:
 			kept = append(kept, s)
@@ -212,7 +214,9 @@
 	var reservable *reservable
 	near := p.nearPlacement(r.step, candidates, q)
 	defer near.log()
-	for _, t := range r.step.tasks {
+	// Placing the last open task opens more.
+	for n := 0; n < len(r.step.tasks); n++ {
+		t := r.step.tasks[n]
 		if t.done || t.assigned() || p.now.Before(t.notBefore) || r.starving && !p.core.starving(t, p.now) {
 			continue
 		}
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"gooseberryreel/internal/pb"
 )
 
@@ -20,9 +22,13 @@
 			return JobRecord{State: r}
 		}
 	}
+	r.NextRound = int32(j.nextRound)
 	if j.blocks != nil {
 		r.Split = true
-		return JobRecord{State: r, Blocks: j.blocks.take()}
+		for _, round := range j.rounds {
+			r.Rounds = append(r.Rounds, &pb.StoredRound{Number: int32(round.number)})
+		}
+		return JobRecord{State: r, Blocks: j.blocks.take(j)}
 	}
 	for _, round := range j.rounds {
 		r.Rounds = append(r.Rounds, round.record())
@@ -38,8 +44,8 @@
 	for _, s := range r.steps {
 		stored := &pb.StoredStep{Done: s.unfinished == 0}
 		if !stored.Done || s.hasAttempts() {
-			for _, t := range s.tasks {
-				stored.Tasks = append(stored.Tasks, t.record())
+			for index := range s.count() {
+				stored.Tasks = append(stored.Tasks, s.recordTask(index))
 			}
 		}
 		out.Steps = append(out.Steps, stored)
@@ -47,7 +53,18 @@
 	return out
 }
 
+// recordTask returns the stored form of a task, open or not.
+func (s *step) recordTask(index int) *pb.StoredTask {
+	if t := s.taskByIndex(index); t != nil {
+		return t.record()
+	}
+	return &pb.StoredTask{Done: index < s.nextTask}
+}
+
 func (t *task) record() *pb.StoredTask {
+	if t.done && !t.assigned() {
+		return &pb.StoredTask{Done: true}
+	}
 	out := &pb.StoredTask{Done: t.done, Run: int32(t.lastAttempt), Failures: int32(t.failures), Crashes: t.recordCrashes()}
 	if !t.done {
 		out.Checkpoint = t.checkpoint
@@ -60,9 +77,9 @@
 	return out
 }
 
-func (j *job) hasAttempts() bool { return slices.ContainsFunc(j.rounds, (*round).hasAttempts) }
+func (j *job) hasAttempts() bool { return j.attempts > 0 }
 
-func (r *round) hasAttempts() bool { return slices.ContainsFunc(r.steps, (*step).hasAttempts) }
+func (r *round) hasAttempts() bool { return r.attempts > 0 }
 
 func (s *step) hasAttempts() bool { return slices.ContainsFunc(s.tasks, (*task).assigned) }
 
@@ -74,6 +91,7 @@
 		return
 	}
 	defer j.restoreWaits(now)
+	defer c.openDueRounds(j, now)
 	if record == nil || record.State == nil {
 		return
 	}
@@ -82,11 +100,13 @@
 	if !j.active() {
 		c.restoreEnd(j, stored, now)
 	}
+	c.restoreOpenRounds(j, record)
 	if stored.GetSplit() {
 		c.restoreBlocks(j, record.Blocks, now)
 	} else {
 		c.restoreRounds(j, stored, now)
 	}
+	j.closeRounds()
 	j.stopUnwanted(c, now)
 	j.visible = j.state()
 	c.repairRestored(j, now)
@@ -125,13 +145,10 @@
 	if j.blocks == nil {
 		return
 	}
-	for _, s := range j.blocks.steps {
-		for _, t := range s.tasks {
-			if t.done || t.lastAttempt > 0 {
-				c.markTaskChanged(t)
-			}
-		}
+	for n := range (j.nextRound*j.roundTasks + j.blocks.size - 1) / j.blocks.size {
+		j.blocks.changed[n] = true
 	}
+	c.markChanged(j)
 }
 
 func (c *Core) restoreRound(j *job, stored *pb.StoredRound, now time.Time) {
@@ -156,22 +173,33 @@
 			continue
 		}
 		for n, storedTask := range storedStep.GetTasks() {
-			if n < len(s.tasks) {
-				c.restoreTask(s.tasks[n], storedTask, now)
-			}
+			c.restoreTask(s, n, storedTask, now)
 		}
 	}
 }
 
 // restoreDone marks all tasks of a step as done.
 func (s *step) restoreDone() {
-	s.unfinished, s.waiting = 0, 0
-	for _, t := range s.tasks {
-		t.done = true
-	}
+	s.unfinished, s.waiting, s.nextTask, s.tasks = 0, 0, s.count(), nil
 }
 
-func (c *Core) restoreTask(t *task, stored *pb.StoredTask, now time.Time) {
+// restoreTask restores a task with an index. It is called in the order of indexes.
+func (c *Core) restoreTask(s *step, index int, stored *pb.StoredTask, now time.Time) {
+	if index >= s.count() || proto.Size(stored) == 0 {
+		return // untouched
+	}
+	if s.spec.GetGang() {
+		s.openMore()
+	}
+	s.openUntil(index)
+	if index == s.nextTask && stored.GetDone() && len(stored.GetAttempts()) == 0 {
+		s.nextTask++
+		s.unfinished--
+		s.waiting--
+		return
+	}
+	s.openUntil(index + 1)
+	t := s.taskByIndex(index)
 	t.lastAttempt, t.failures, t.checkpoint = int(stored.GetRun()), int(stored.GetFailures()), stored.GetCheckpoint()
 	if !c.disabled.forgetCrashes {
 		c.restoreCrashes(t, stored.GetCrashes(), now)
--- a/internal/scheduler/records_test.go
+++ b/internal/scheduler/records_test.go
@@ -79,6 +79,15 @@
 	c.Check(checked > 200, qt.IsTrue, qt.Commentf("only %d records were checked", checked))
 }
 
+// waitingTasks returns the number of a round's tasks without a result or an attempt.
+func (r *round) waitingTasks() int {
+	n := 0
+	for _, s := range r.steps {
+		n += s.waiting
+	}
+	return n
+}
+
 // checkRestore restores each recorded job in a new core and returns their number.
 func (sim *simulation) checkRestore(c *qt.C) int {
 	core := New(Options{Epoch: sim.epoch + 1, Lease: 6 * time.Second, HarmLimit: 4 * time.Second, Retention: time.Hour}, sim.now)
@@ -91,21 +100,38 @@
 		}
 		core.Restore(sub, stored, sim.now)
 		j := core.jobs[sub.GetId()]
+		var queued map[int]bool
 		if j.blocks != nil {
+			queued = maps.Clone(j.blocks.changed)
 			for number := range j.blocks.stored {
 				j.blocks.changed[number] = true
 			}
 		}
+		// Rounds that have become due since the record are open now, and untouched.
+		open, known := j.rounds, int(stored.State.GetNextRound())
+		if n, _ := j.findRound(known); j.active() && known < j.nextRound {
+			for _, r := range j.rounds[n:] {
+				c.Check(r.waitingTasks(), qt.Equals, j.roundTasks)
+			}
+			j.rounds, j.nextRound = j.rounds[:n], known
+		}
 		again := j.record()
+		j.rounds = open
 		again.State.EndedMs = stored.State.GetEndedMs() // the new owner allows for the clock of the earlier one
 		c.Check(proto.Equal(again.State, stored.State), qt.IsTrue, qt.Commentf("recorded %v, restored %v", stored.State, again.State))
 		c.Check(len(again.Blocks), qt.Equals, len(stored.Blocks))
 		for number, block := range stored.Blocks {
+			if again.Blocks[number] == nil {
+				// A part of a batch was stored: the state without the round, but not yet the removal.
+				c.Check(queued[number], qt.IsTrue, qt.Commentf("block %d of %v is not removed", number, stored.State))
+				j.blocks.eachTask(j, number, func(s *step, _ int) { c.Check(s == nil, qt.IsTrue) })
+				continue
+			}
 			c.Check(proto.Equal(again.Blocks[number], block), qt.IsTrue, qt.Commentf("block %d recorded %v, restored %v", number, block, again.Blocks[number]))
 		}
 		for _, r := range j.rounds {
 			for _, s := range r.steps {
-				unfinished, waiting := 0, 0
+				unfinished, waiting := s.count()-s.nextTask, s.count()-s.nextTask
 				for _, t := range s.tasks {
 					if !t.done {
 						unfinished++
--- a/internal/scheduler/restored_waits.go
+++ b/internal/scheduler/restored_waits.go
@@ -20,6 +20,10 @@
 			if !s.mayStart(now) {
 				continue
 			}
+			if s.nextTask < s.count() {
+				s.waitedBefore = since
+				j.idleBefore = max(j.idleBefore, since)
+			}
 			for _, t := range s.tasks {
 				switch {
 				case t.done || t.assigned():
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -247,6 +247,13 @@
 	sim.core.Submit(sub, sim.now)
 }
 
+// firstTask returns the first open task of a job's first open round.
+func (sim *simulation) firstTask(id string) *task {
+	s := sim.core.jobs[id].rounds[0].steps[0]
+	s.openMore()
+	return s.tasks[0]
+}
+
 func (sim *simulation) cancel(id string) {
 	sim.cancels = append(sim.cancels, id)
 	sim.core.Cancel(id, sim.now)
--- a/internal/scheduler/straggler_test.go
+++ b/internal/scheduler/straggler_test.go
@@ -288,7 +288,7 @@
 	s.Speculative = true
 	sim.submit(simJob(1, s))
 	sim.run(3 * time.Second)
-	attempts := sim.core.jobs[simJob(1).Id].rounds[0].steps[0].tasks[0].attempts
+	attempts := sim.firstTask(simJob(1).Id).attempts
 	c.Assert(attempts, qt.HasLen, 2)
 	return sim, attempts[0], attempts[1]
 }
@@ -309,7 +309,7 @@
 			for _, endCopy := range []bool{false, true} {
 				c := qt.New(t)
 				sim, original, copied := copiedTask(c, 1)
-				task := func() *task { return sim.core.jobs[simJob(1).Id].rounds[0].steps[0].tasks[0] }
+				task := func() *task { return sim.firstTask(simJob(1).Id) }
 				sim.checkRestore(c)
 				ended, other := original, copied
 				if endCopy {
@@ -327,7 +327,7 @@
 				c.Check(sim.violations, qt.HasLen, 0)
 				if reason == EndDone {
 					c.Check(stateName(sim.core.State(simJob(1).Id)), qt.Equals, "completed")
-					c.Check(sim.runningOn[task().idOfAttempt(1).TaskName()], qt.HasLen, 0)
+					c.Check(sim.runningOn[AttemptID{Job: simJob(1).Id}.TaskName()], qt.HasLen, 0)
 					continue
 				}
 				c.Assert(task().attempts, qt.HasLen, 1)
--- a/internal/scheduler/suspect_waits_test.go
+++ b/internal/scheduler/suspect_waits_test.go
@@ -32,7 +32,7 @@
 	filler.Filler, filler.Checkpoints, filler.Image = true, true, "filler"
 	sub := simJob(100, filler)
 	sim.submit(sub)
-	sim.core.jobs[sub.GetId()].rounds[0].steps[0].tasks[0].crashes = []crash{{attempt: 1, address: "gone", age: 100 * time.Millisecond, alone: true}}
+	sim.firstTask(sub.GetId()).crashes = []crash{{attempt: 1, address: "gone", age: 100 * time.Millisecond, alone: true}}
 	return sub.GetId()
 }
 
--- a/internal/scheduler/value.go
+++ b/internal/scheduler/value.go
@@ -13,7 +13,7 @@
 	w := jobWork{perTask: make([]float64, len(r.steps))}
 	for i, s := range r.steps {
 		w.perTask[i] = fit.expect(s.spec.GetEstimateMs()).Seconds() * float64(s.size.CPUMilli)
-		w.total += w.perTask[i] * float64(len(s.tasks))
+		w.total += w.perTask[i] * float64(s.count())
 	}
 	return w
 }
@@ -33,7 +33,7 @@
 	remaining := 0.0
 	for i, s := range r.step.round.steps {
 		remaining += float64(s.unfinished) * work.perTask[i]
-		r.begun = r.begun || s.unfinished < len(s.tasks) || s.waiting < s.unfinished
+		r.begun = r.begun || s.unfinished < s.count() || s.waiting < s.unfinished
 	}
 	r.cost = c.sizesOf(r.step.round.job.sub.GetQueue()).Cost(remaining, work.total)
 }
