scheduler: one role of a step decides what it is to its neighbours

Cause: the index of the step's image was taken among the fillers, and looked up among the services by the placement, which failed. Two predicates stood for one notion, and both indexes were plain integers.

Change: the role is made once, with indexes of two types. A step may serve and fill: it doesn't count as its own disturbance. A long-running filler is slowed in place, which its progress of 100 % prevented, and stopped only within the number of tasks of its step that may be away.

--- a/internal/interference/latency_model.go
+++ b/internal/interference/latency_model.go
@@ -21,12 +21,13 @@
 //
 // Images are identified by index, so that predictions cost little.
 type LatencyModel struct {
-	services, fillers map[string]int
-	serviceNames      []string
-	fillerNames       []string
-	filters           []*serviceFilter // by service
-	version           int64
-	scratch           []float64 // of Observe
+	services     map[string]Service
+	fillers      map[string]Filler
+	serviceNames []string
+	fillerNames  []string
+	filters      []*serviceFilter // by service
+	version      int64
+	scratch      []float64 // of Observe
 }
 
 // serviceFilter is the Kalman filter of one service. It holds the means and the
@@ -72,16 +73,22 @@
 	maxUtilization = 0.98
 )
 
+// Service is the index of a service image and Filler that of a filler image.
+type (
+	Service int
+	Filler  int
+)
+
 // Share is the share of a worker's CPUs that the tasks of one filler image
 // use.
 type Share struct {
-	Filler int     // index from LatencyModel.FillerIndex
+	Filler Filler
 	Share  float64 // 0 to 1
 }
 
 // NewLatencyModel returns a model without images and observations.
 func NewLatencyModel() *LatencyModel {
-	return &LatencyModel{services: make(map[string]int), fillers: make(map[string]int)}
+	return &LatencyModel{services: make(map[string]Service), fillers: make(map[string]Filler)}
 }
 
 // NewLoadEstimate returns the estimate for a task without measurements.
@@ -90,10 +97,10 @@
 }
 
 // ServiceIndex returns the index of a service image. It adds an unknown image.
-func (m *LatencyModel) ServiceIndex(image string) int {
+func (m *LatencyModel) ServiceIndex(image string) Service {
 	n, found := m.services[image]
 	if !found {
-		n = len(m.filters)
+		n = Service(len(m.filters))
 		m.services[image] = n
 		m.serviceNames = append(m.serviceNames, image)
 		filter := &serviceFilter{floor: initialFloor}
@@ -106,10 +113,10 @@
 }
 
 // FillerIndex returns the index of a filler image. It adds an unknown image.
-func (m *LatencyModel) FillerIndex(image string) int {
+func (m *LatencyModel) FillerIndex(image string) Filler {
 	n, found := m.fillers[image]
 	if !found {
-		n = len(m.fillerNames)
+		n = Filler(len(m.fillerNames))
 		m.fillers[image] = n
 		m.fillerNames = append(m.fillerNames, image)
 		for _, filter := range m.filters {
@@ -136,12 +143,12 @@
 
 // Weight returns the increase of a service's utilization by a filler that uses all
 // CPUs of the worker.
-func (m *LatencyModel) Weight(service, filler int) float64 {
+func (m *LatencyModel) Weight(service Service, filler Filler) float64 {
 	return max(m.filters[service].mean[filler], 0)
 }
 
 // AddedUtilization returns the increase of a service's utilization by fillers.
-func (m *LatencyModel) AddedUtilization(service int, shares []Share) float64 {
+func (m *LatencyModel) AddedUtilization(service Service, shares []Share) float64 {
 	total := 0.0
 	for _, s := range shares {
 		total += m.Weight(service, s.Filler) * s.Share
@@ -151,19 +158,19 @@
 
 // Utilization returns the utilization of a service at a latency, given as the
 // ratio of the latency to its target.
-func (m *LatencyModel) Utilization(service int, ratio float64) float64 {
+func (m *LatencyModel) Utilization(service Service, ratio float64) float64 {
 	floor := m.filters[service].floor
 	return min(max(1-floor/math.Max(ratio, floor), 0), maxUtilization)
 }
 
 // UtilizationAtTarget returns the highest utilization at which a service meets its
 // latency target.
-func (m *LatencyModel) UtilizationAtTarget(service int) float64 { return m.Utilization(service, 1) }
+func (m *LatencyModel) UtilizationAtTarget(service Service) float64 { return m.Utilization(service, 1) }
 
 // Observe updates the model and the load estimate of a task with one measurement
 // of the task's latency, given as the ratio to its target. The shares of the
 // fillers on the worker are averages over the time that the measurement covers.
-func (m *LatencyModel) Observe(service int, load *LoadEstimate, shares []Share, ratio float64) {
+func (m *LatencyModel) Observe(service Service, load *LoadEstimate, shares []Share, ratio float64) {
 	filter := m.filters[service]
 	m.version++
 	filter.floor = min(filter.floor, floorFraction*ratio)
--- a/internal/interference/latency_model_test.go
+++ b/internal/interference/latency_model_test.go
@@ -57,11 +57,11 @@
 			if s.rng.IntN(4) == 0 {
 				colocated[task] = nil
 				for range s.rng.IntN(4) {
-					colocated[task] = append(colocated[task], Share{s.rng.IntN(9), 0.05 + 0.1*s.rng.Float64()})
+					colocated[task] = append(colocated[task], Share{Filler(s.rng.IntN(9)), 0.05 + 0.1*s.rng.Float64()})
 				}
 			}
 			service := task % 5
-			m.Observe(service, &loads[task], colocated[task], s.measure(task, service, at, colocated[task]))
+			m.Observe(Service(service), &loads[task], colocated[task], s.measure(task, service, at, colocated[task]))
 		}
 	}
 }
@@ -89,7 +89,7 @@
 			s.observe(m, seconds)
 			for service, row := range s.truth {
 				for filler, truth := range row {
-					if (m.Weight(service, filler) > 1) != (truth > 1) {
+					if (m.Weight(Service(service), Filler(filler)) > 1) != (truth > 1) {
 						wrong++
 					}
 				}
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -330,7 +330,7 @@
 	}
 	if t.step.filler() && !a.seenAt.IsZero() && w.services > 0 {
 		part := share(t.step.size.CPUMilli*int64(a.confirmedSpeed)/100, w.entry.Capacity.CPUMilli)
-		w.pastFillers = append(w.pastFillers, pastFiller{t.step.image, part, a.seenAt, now})
+		w.pastFillers = append(w.pastFillers, pastFiller{t.step.role.filler, part, a.seenAt, now})
 	}
 	t.attempts = slices.DeleteFunc(t.attempts, func(o *attempt) bool { return o == a })
 	j.attempts--
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -210,16 +210,6 @@
 	return j
 }
 
-// setImageIndex sets the index of a step's image in the interference model.
-func (c *Core) setImageIndex(s *step) {
-	switch {
-	case s.filler():
-		s.image = c.model.FillerIndex(s.spec.GetImage())
-	case s.longRunning() && s.spec.GetLatencyTargetMs() > 0:
-		s.image = c.model.ServiceIndex(s.spec.GetImage())
-	}
-}
-
 // Cancel applies a cancellation of the intake.
 func (c *Core) Cancel(id string, now time.Time) {
 	j := c.jobs[id]
--- a/internal/scheduler/feasibility.go
+++ b/internal/scheduler/feasibility.go
@@ -42,7 +42,7 @@
 
 // predicted is the expected utilization of the services of one image on a worker.
 type predicted struct {
-	image int
+	image interference.Service
 	use   float64 // of the service with the highest intrinsic load
 	limit float64 // at which a service just meets its target
 }
@@ -99,8 +99,9 @@
 }
 
 func (cand *candidate) addService(a *attempt) {
-	image := a.step().image
-	use := max(a.load.Mean, (a.load.Mean+usualLoad)/2) + cand.model.AddedUtilization(image, cand.load.fillers)
+	image := a.step().role.service
+	use := max(a.load.Mean, (a.load.Mean+usualLoad)/2) + cand.model.AddedUtilization(image, cand.load.fillers) -
+		a.ownWeight(cand.model, share(a.step().size.CPUMilli, cand.worker.entry.Capacity.CPUMilli))
 	for i := range cand.services {
 		if cand.services[i].image == image {
 			cand.services[i].use = max(cand.services[i].use, use)
@@ -113,7 +114,7 @@
 // maxRise returns the largest rise in utilization that a filler with a share of
 // the worker's CPU causes in a service there, and whether all services are
 // predicted to meet their targets with it.
-func (cand *candidate) maxRise(filler int, part float64) (float64, bool) {
+func (cand *candidate) maxRise(filler interference.Filler, part float64) (float64, bool) {
 	most, ok := 0.0, true
 	for _, s := range cand.services {
 		rise := cand.model.Weight(s.image, filler) * part
--- a/internal/scheduler/interference.go
+++ b/internal/scheduler/interference.go
@@ -45,7 +45,7 @@
 		switch {
 		case s.filler():
 			l.use += s.size.CPUMilli * int64(a.speed) / 100
-			l.addFiller(s.image, share(s.size.CPUMilli, w.entry.Capacity.CPUMilli))
+			l.addFiller(s.role.filler, share(s.size.CPUMilli, w.entry.Capacity.CPUMilli))
 		case s.longRunning():
 			l.use += int64(float64(s.size.CPUMilli) * longRunningUse)
 		default:
@@ -56,7 +56,7 @@
 	return l
 }
 
-func (l *load) addFiller(image int, part float64) {
+func (l *load) addFiller(image interference.Filler, part float64) {
 	for i := range l.fillers {
 		if l.fillers[i].Filler == image {
 			l.fillers[i].Share += part
@@ -66,15 +66,9 @@
 	l.fillers = append(l.fillers, interference.Share{Filler: image, Share: part})
 }
 
-// serving reports whether an attempt belongs to a service: a long-running task with
-// a latency target.
-func (a *attempt) serving() bool {
-	return a.step().longRunning() && a.step().spec.GetLatencyTargetMs() > 0
-}
-
 // relativeLatency returns the measured latency divided by the target.
 func (a *attempt) relativeLatency() float64 {
-	return float64(a.measured) / float64(a.step().spec.GetLatencyTargetMs())
+	return float64(a.measured) / float64(a.step().role.targetMs)
 }
 
 // measureWindow is the time span that a latency measurement covers.
@@ -82,7 +76,7 @@
 
 // pastFiller is a filler that ended within the newest measurement window.
 type pastFiller struct {
-	image   int
+	image   interference.Filler
 	share   float64
 	from    time.Time
 	endedAt time.Time
@@ -99,7 +93,7 @@
 	for _, a := range w.list {
 		if s := a.step(); s.filler() && !a.seenAt.IsZero() {
 			cpu := s.size.CPUMilli * int64(a.confirmedSpeed) / 100
-			l.addFiller(s.image, share(cpu, w.entry.Capacity.CPUMilli)*overlap(a.seenAt, now, now))
+			l.addFiller(s.role.filler, share(cpu, w.entry.Capacity.CPUMilli)*overlap(a.seenAt, now, now))
 		}
 	}
 	return l.fillers
@@ -128,7 +122,7 @@
 // learn updates the model and the overruns from the new measurements of a worker.
 func (c *Core) learn(w *worker, now time.Time) {
 	shares := w.measuredShares(now)
-	if w.fillerCPU == 0 && now.Sub(w.fillersEndedAt) >= measureWindow {
+	if now.Sub(w.fillersWorkedAt(now)) >= measureWindow {
 		w.refusesFillers = false
 	}
 	for _, a := range w.list {
@@ -137,18 +131,35 @@
 		}
 		settled := now.Sub(a.seenAt) >= settleTime
 		if settled {
-			c.model.Observe(a.step().image, &a.load, shares, a.relativeLatency())
+			own := share(a.step().size.CPUMilli*int64(a.confirmedSpeed)/100, w.entry.Capacity.CPUMilli) * overlap(a.seenAt, now, now)
+			c.model.Observe(a.step().role.service, &a.load, a.sharesBeside(shares, own), a.relativeLatency())
 		}
 		if c.disabled.clearOverruns && a.relativeLatency() <= 1 {
 			a.overrun = interference.Overrun{}
 		}
 		if settled || a.restored && !c.disabled.countFromMeasurement {
-			a.overrun.Observe(a.measured, a.step().spec.GetLatencyTargetMs(), c.sharedSince(a), now)
+			a.overrun.Observe(a.measured, a.step().role.targetMs, c.sharedSince(a), now)
 			c.learnAlone(a, now)
 		}
 	}
 }
 
+// fillersWorkedAt returns when a filler on the worker last worked, as far as it is known:
+// now, unless there is none or all are at a standstill.
+func (w *worker) fillersWorkedAt(now time.Time) time.Time {
+	latest := w.fillersEndedAt
+	for _, a := range w.list {
+		switch {
+		case !a.step().filler() || a.step().size.CPUMilli == 0:
+		case a.speed > 0 || a.confirmedSpeed > 0:
+			return now
+		case a.speedSetAt.After(latest):
+			latest = a.speedSetAt
+		}
+	}
+	return latest
+}
+
 // learnAlone notes whether a service misses its target although no filler ran beside it
 // in the time span of its newest measurement.
 func (c *Core) learnAlone(a *attempt, now time.Time) {
@@ -159,7 +170,7 @@
 	switch {
 	case !a.overrun.Missing():
 		a.overAlone = false
-	case a.worker.fillerCPU == 0 && now.Sub(alone) >= measureWindow:
+	case !a.fillersBeside() && now.Sub(alone) >= measureWindow:
 		a.overAlone = true
 	}
 }
@@ -196,7 +207,7 @@
 	for _, f := range w.list {
 		if f.step().filler() {
 			cpu := f.step().size.CPUMilli * int64(f.speed) / 100
-			fillers = append(fillers, interference.Share{Filler: f.step().image, Share: share(cpu, w.entry.Capacity.CPUMilli)})
+			fillers = append(fillers, interference.Share{Filler: f.step().role.filler, Share: share(cpu, w.entry.Capacity.CPUMilli)})
 		}
 	}
 	for _, a := range w.list {
@@ -256,8 +267,9 @@
 // slack returns how much further the utilization of a service may rise before it is
 // expected to miss its target beside the fillers on its worker.
 func (c *Core) slack(service *attempt, fillers []interference.Share) float64 {
-	image := service.step().image
-	left := c.model.UtilizationAtTarget(image) - service.load.Mean
+	image := service.step().role.service
+	left := c.model.UtilizationAtTarget(image) - service.load.Mean +
+		service.ownWeight(c.model, share(service.step().size.CPUMilli*int64(service.speed)/100, service.worker.entry.Capacity.CPUMilli))
 	for _, f := range fillers {
 		left -= c.model.Weight(image, f.Filler) * f.Share
 	}
@@ -271,14 +283,14 @@
 	var fillers []interference.Share
 	for _, f := range w.list {
 		if f.step().filler() {
-			fillers = append(fillers, interference.Share{Filler: f.step().image, Share: share(f.step().size.CPUMilli*int64(f.speed)/100, w.entry.Capacity.CPUMilli)})
+			fillers = append(fillers, interference.Share{Filler: f.step().role.filler, Share: share(f.step().size.CPUMilli*int64(f.speed)/100, w.entry.Capacity.CPUMilli)})
 		}
 	}
 	for _, a := range w.list {
-		if !a.serving() || a.stopReason != "" {
+		if !a.serving() || a.stopReason != "" || a == filler {
 			continue
 		}
-		full := c.model.Weight(a.step().image, filler.step().image) * share(filler.step().size.CPUMilli, w.entry.Capacity.CPUMilli)
+		full := c.model.Weight(a.step().role.service, filler.step().role.filler) * share(filler.step().size.CPUMilli, w.entry.Capacity.CPUMilli)
 		if full > negligibleRise {
 			limit = min(limit, int((c.slack(a, fillers)-speedUpSlack)/full*100))
 		}
@@ -290,7 +302,7 @@
 // service.
 func (c *Core) rise(w *worker, service, filler *attempt) float64 {
 	cpu := filler.step().size.CPUMilli * int64(filler.speed) / 100
-	return c.model.Weight(service.step().image, filler.step().image) * share(cpu, w.entry.Capacity.CPUMilli)
+	return c.model.Weight(service.step().role.service, filler.step().role.filler) * share(cpu, w.entry.Capacity.CPUMilli)
 }
 
 // relieve evicts the filler that raises a service's utilization most. If the filler
@@ -301,7 +313,8 @@
 	var worst *attempt
 	most := minThrottleRise
 	for _, f := range w.list {
-		if !f.step().filler() || f.stopReason != "" || f.speedPending || f.startedAt.IsZero() && f.seenAt.IsZero() || f.progress >= almostDonePercent {
+		if !f.step().filler() || f == over || f.stopReason != "" || f.speedPending || f.startedAt.IsZero() && f.seenAt.IsZero() ||
+			f.progress >= almostDonePercent && !f.step().longRunning() {
 			continue
 		}
 		if f.speed <= speedStepPercent && !f.evictable() {
@@ -321,7 +334,7 @@
 		percent = max(min(percent, worst.speed-speedStepPercent), speedStepPercent)
 	}
 	c.addLogEntry("filler slowed", worst.job().sub.GetRequestId(), "run", worst.attemptID.String(), "worker", w.id, "percent", percent,
-		"moved", worst.evictable(), "service", over.attemptID.String(), "latency_ms", over.measured, "target_ms", over.step().spec.GetLatencyTargetMs(),
+		"moved", worst.evictable(), "service", over.attemptID.String(), "latency_ms", over.measured, "target_ms", over.step().role.targetMs,
 		"own_load", over.load.Mean, "part", most, "margin", c.margin(worst.step(), now), "measured_ms_ago", now.Sub(over.measuredAt).Milliseconds())
 	// The filler is throttled even if it is evicted: it would slow the service
 	// down until the stop takes effect.
@@ -338,20 +351,24 @@
 // target for half of HarmLimit: the model does not know the cause.
 func (c *Core) evictFillers(w *worker, over *attempt, now time.Time) {
 	for _, f := range w.list {
-		if !f.step().filler() || f.stopReason != "" {
+		if !f.step().filler() || f == over || f.stopReason != "" {
+			continue
+		}
+		if !f.mayBeStopped() {
+			c.setSpeed(f, 0, now)
 			continue
 		}
 		c.addLogEntry("filler evicted", f.job().sub.GetRequestId(), "run", f.attemptID.String(), "worker", w.id, "service", over.attemptID.String(),
-			"latency_ms", over.measured, "target_ms", over.step().spec.GetLatencyTargetMs(), "over_ms", over.overrun.Since(now).Milliseconds())
+			"latency_ms", over.measured, "target_ms", over.step().role.targetMs, "over_ms", over.overrun.Since(now).Milliseconds())
 		c.setSpeed(f, 0, now)
 		f.task.avoid = w.id
 		c.stop(f, "a service on its worker misses its target", now)
 	}
 	over.overrun.Restart()
-	w.refusesFillers, w.changed = w.fillerCPU > 0 && !c.disabled.refillAfterEviction, true
+	w.refusesFillers, w.changed = over.fillersBeside() && !c.disabled.refillAfterEviction, true
 	for _, a := range w.list {
 		// With fillers to stop, it is open again whether they are the cause.
-		a.overAlone = a.overAlone && w.fillerCPU == 0
+		a.overAlone = a.overAlone && !a.fillersBeside()
 	}
 }
 
@@ -363,8 +380,11 @@
 			continue // an overcommitted one is sped up when the turn of its step comes
 		}
 		percent := 100
-		if tightest != nil {
-			full := c.model.Weight(tightest.step().image, f.step().image) * share(f.step().size.CPUMilli, w.entry.Capacity.CPUMilli)
+		switch {
+		case tightest == f:
+			percent = f.speed + c.spareSpeed(f, 100-f.speed)/speedStepPercent*speedStepPercent
+		case tightest != nil:
+			full := c.model.Weight(tightest.step().role.service, f.step().role.filler) * share(f.step().size.CPUMilli, w.entry.Capacity.CPUMilli)
 			if full > negligibleRise {
 				percent = min(f.speed+int((slack-speedUpSlack)/full*100)/speedStepPercent*speedStepPercent, 100)
 			}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -54,7 +54,7 @@
 	first int // number of the first task among all of the job
 	spec  *pb.StepSpec
 	size  Resources // requested by each task
-	image int       // index of the image in the interference model
+	role  role
 	// tasks are the open ones, in the order of their indexes. All others below nextTask are
 	// done and have no attempts.
 	tasks      []*task
@@ -163,7 +163,6 @@
 }
 
 func (s *step) longRunning() bool { return s.spec.GetLasting() }
-func (s *step) filler() bool      { return s.spec.GetFiller() }
 func (t *task) assigned() bool    { return len(t.attempts) > 0 }
 func (a *attempt) step() *step    { return a.task.step }
 func (a *attempt) job() *job      { return a.task.step.round.job }
--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -30,6 +30,9 @@
 	if s.spec.GetGang() || a.task.evictions >= maxEvictions || s.unfinished-s.waiting <= 1 {
 		return false // the last active task of a step stays, throttled as needed
 	}
+	if s.longRunning() {
+		return false // its users would miss it
+	}
 	return s.spec.GetCheckpoints() || a.progress < maxLostPercent
 }
 
--- a/internal/scheduler/overcommit.go
+++ b/internal/scheduler/overcommit.go
@@ -131,7 +131,7 @@
 		}
 		free, stopping := cand.free, false
 		for _, a := range w.list {
-			if a.overcommitted {
+			if a.overcommitted && a.mayBeStopped() {
 				free.MemoryMiB += a.step().size.MemoryMiB
 				stopping = stopping || a.stopReason != ""
 			}
@@ -144,7 +144,7 @@
 		}
 		free = cand.free
 		for _, a := range slices.Clone(w.list) {
-			if a.overcommitted && !t.step.size.FitsIn(free) {
+			if a.overcommitted && a.mayBeStopped() && !t.step.size.FitsIn(free) {
 				free.MemoryMiB += a.step().size.MemoryMiB
 				p.core.stop(a, "other work needs its memory", p.now)
 			}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"gooseberryreel/internal/interference"
 )
 
 // plan runs a placement pass: it places waiting tasks on workers.
@@ -106,8 +108,8 @@
 	pool          string
 	filler        bool
 	isLongRunning bool
-	image         int  // of a filler, otherwise zero
-	starved       bool // see step.starved
+	image         interference.Filler // zero if it is none
+	starved       bool                // see step.starved
 }
 
 // requirementsOf returns the requirements of a step, false if the step has others
@@ -115,7 +117,7 @@
 func requirementsOf(s *step, pool string) (requirements, bool) {
 	n := requirements{pool: pool, filler: s.filler(), isLongRunning: s.longRunning()}
 	if n.filler {
-		n.image = s.image
+		n.image = s.role.filler
 	}
 	return n, s.advice == nil && s.spec.GetSpread() == 0 && s.spec.GetRequiredLabel() == ""
 }
--- a/internal/scheduler/ranking.go
+++ b/internal/scheduler/ranking.go
@@ -80,7 +80,7 @@
 func (cand *candidate) longRunningCost(s *step) float64 {
 	cost := freeShare(cand)
 	for _, p := range cand.services {
-		if p.image != s.image {
+		if !s.role.serves || p.image != s.role.service {
 			cost += otherImageCost
 		}
 	}
@@ -122,7 +122,7 @@
 		// HarmLimit all fillers there are stopped.
 		return 0, refusedOverTarget
 	}
-	rise, ok := cand.maxRise(s.image, share(size, cpu))
+	rise, ok := cand.maxRise(s.role.filler, share(size, cpu))
 	cost := use + riseCost*rise*(1+marginCost*p.costs.margin)
 	switch {
 	case cand.overTarget:
--- a/internal/scheduler/rounds.go
+++ b/internal/scheduler/rounds.go
@@ -91,7 +91,7 @@
 			size: Resources{spec.GetCpuMilli(), spec.GetMemoryMib(), spec.GetAccelerators()},
 		}
 		first += s.count()
-		c.setImageIndex(s)
+		s.role = c.roleOf(s)
 		r.steps = append(r.steps, s)
 	}
 	return r
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -111,7 +111,7 @@
 	if !s.filler() && !s.longRunning() {
 		w.countShort(s, sign)
 	}
-	if s.longRunning() && s.spec.GetLatencyTargetMs() > 0 {
+	if s.role.serves {
 		w.services += int(sign)
 	}
 	if a.trial {
