daemon: an owner that fails ends its process

Cause: a deferred wait for a goroutine that ends only at a shutdown kept a panic from ending the process, and nothing watched the loop or told the next owner under which job the one before had failed.

Change: the loop recovers from a panic before anything is waited for, logs it and ends the process; a loop without progress is not ready after 2 s and ends the process after 10 s. A failing owner records the job that the core worked on, and after two owners have failed under a job the next one sets it aside.

--- a/cmd/gooseberry-scheduler/main.go
+++ b/cmd/gooseberry-scheduler/main.go
@@ -121,7 +121,10 @@
 
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	instance, err := daemon.New(daemon.Options{Settings: loaded, Logger: log, DroppedLines: dropped})
+	instance, err := daemon.New(daemon.Options{Settings: loaded, Logger: log, DroppedLines: dropped, Exit: func() {
+		out.Close()
+		os.Exit(exitFailed)
+	}})
 	if err != nil {
 		log.WithError(err).Error("start failed")
 		return exitListen
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,6 +55,8 @@
 	Store        store.Store
 	WorkerClient relay.WorkerClient
 	Advice       AdviceClient
+	// Exit ends the process after a fault. It defaults to os.Exit.
+	Exit func()
 }
 
 // AdviceClient sends requests to the advice service.
@@ -84,6 +87,8 @@
 	storeLatency storeLatency
 	limits       recordLimits
 	stopping     atomic.Bool
+	faulty       atomic.Bool // see fail
+	exit         func()
 
 	mu   sync.Mutex
 	term *ownerTerm // nil while this instance is not the owner
@@ -108,6 +113,9 @@
 	i.metrics = newMetrics(i.registry, o.DroppedLines)
 	i.executor = &relay.Executor{Client: o.WorkerClient, Observe: i.metrics.observeCommand}
 	i.store = &observedStore{next: i.store, instance: i}
+	if i.exit = o.Exit; i.exit == nil {
+		i.exit = func() { os.Exit(1) }
+	}
 	i.intake = newIntake(i)
 	i.requests = newOperatorRequests()
 	i.admission = newAdmissionControl(i)
@@ -225,6 +233,11 @@
 		return "no configuration yet"
 	case i.storeContact.age() > readyStoreTimeout:
 		return "the store is unreachable"
+	case i.faulty.Load():
+		return "a fault has occurred"
+	}
+	if o := i.currentTerm(); o != nil && o.stuck.Load() {
+		return "the owner's loop makes no progress"
 	}
 	return ""
 }
--- a/internal/daemon/election.go
+++ b/internal/daemon/election.go
@@ -87,11 +87,16 @@
 func (i *Instance) runElection(stopCtx, workCtx context.Context) {
 	self := leader.Candidate{Instance: i.settings.GetInstance(), Address: i.peerAddress(), CPUMilli: i.cpuMilli()}
 	times := leader.Settings{UnownedDelay: claimUnownedDelay, StaggerDelay: claimStaggerDelay, SettleTime: claimSettleTime, UnlistedDelay: claimUnlistedDelay, SmallMachineDelay: claimSmallMachineDelay, YieldDelay: yieldDelay}
-	elector := leader.New(self, times)
 	memberName := member{Instance: self.Instance, Address: self.Address, CPUMilli: self.CPUMilli}.name()
 	var listed sync.WaitGroup
 	listed.Go(func() { i.keepRegistered(stopCtx, workCtx, memberName) })
-	defer listed.Wait()
+	i.runCandidate(stopCtx, workCtx, self, times)
+	listed.Wait() // not deferred: a panic must end the process
+}
+
+// runCandidate claims the ownership when it is this instance's turn, until stopCtx ends.
+func (i *Instance) runCandidate(stopCtx, workCtx context.Context, self leader.Candidate, times leader.Settings) {
+	elector := leader.New(self, times)
 	for stopCtx.Err() == nil {
 		i.pollOwner(stopCtx, elector)
 		delay := ownerPollInterval
--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"os"
+	"sync"
 	"testing"
 	"time"
 
@@ -38,6 +39,7 @@
 	endpoint *emulator.Endpoint
 	stop     context.CancelFunc
 	done     chan struct{}
+	exited   chan struct{} // closed when a fault has ended the instance
 }
 
 const (
@@ -103,10 +105,12 @@
 	}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	i, err := New(Options{Settings: settings, Logger: logger.WithField("instance", name)})
-	qt.Assert(s.t, err, qt.IsNil)
 	ctx, stop := context.WithCancel(context.Background())
-	ti := &testInstance{Instance: i, endpoint: endpoint, stop: stop, done: make(chan struct{})}
+	exited := make(chan struct{})
+	exit := sync.OnceFunc(func() { close(exited); stop() })
+	i, err := New(Options{Settings: settings, Logger: logger.WithField("instance", name), Exit: exit})
+	qt.Assert(s.t, err, qt.IsNil)
+	ti := &testInstance{Instance: i, endpoint: endpoint, stop: stop, done: make(chan struct{}), exited: exited}
 	go func() {
 		defer close(ti.done)
 		if err := i.Run(ctx); err != nil {
--- a/internal/daemon/owner_term.go
+++ b/internal/daemon/owner_term.go
@@ -75,6 +75,10 @@
 	lastBatch    time.Time
 	evacuations  evacuationView
 	load         *loopLoad
+
+	suspects map[string]int32 // owners that have failed under a job, as of the takeover
+	progress atomic.Int64     // iterations of loop
+	stuck    atomic.Bool      // see watchLoop
 }
 
 // currentTerm returns the term of this instance, nil if it is not the owner.
@@ -99,13 +103,17 @@
 	ctx, cancel := context.WithCancel(workCtx)
 	defer cancel()
 	o := &ownerTerm{
-		instance: i, core: i.restoreCore(s, time.Now()), epoch: s.owner.GetEpoch(), ctx: ctx, end: cancel,
+		instance: i, epoch: s.owner.GetEpoch(), ctx: ctx, end: cancel, suspects: s.suspects,
 		events: make(chan event, maxQueuedEvents), done: make(chan struct{}),
 		sequence: 1, intakeCursors: s.intakeEnd, intakeRead: make([]storeContact, len(s.intakeEnd)),
 	}
 	for n := range o.intakeRead {
 		o.intakeRead[n].advance(s.claimedAt)
 	}
+	o.restore(s)
+	if i.faulty.Load() {
+		return
+	}
 	debug.SetGCPercent(ownerGCPercent)
 	defer debug.SetGCPercent(defaultGCPercent)
 	o.load = newLoopLoad(i.metrics.loop, o.core.PassCounts())
@@ -131,6 +139,7 @@
 	run(func() { o.maintainRelays() })
 	run(func() { o.publishBacklogs() })
 	run(func() { o.waitForEarlierOwners(s.owner) })
+	run(o.watchLoop)
 	go func() {
 		select {
 		case <-stopCtx.Done():
@@ -149,6 +158,13 @@
 	}
 }
 
+// restore creates the core. A panic there counts as one of the loop.
+func (o *ownerTerm) restore(s *storedState) {
+	defer o.recoverLoop()
+	o.core = scheduler.New(o.instance.coreOptions(s.owner), time.Now())
+	o.instance.restoreCore(o.core, s, time.Now())
+}
+
 // endTerm ends the term and logs the reason.
 func (o *ownerTerm) endTerm(reason string) {
 	if o.ctx.Err() == nil {
@@ -227,12 +243,14 @@
 // loop runs the core: it applies events, advances time and sends the output until
 // the term ends.
 func (o *ownerTerm) loop() {
+	defer o.recoverLoop()
 	core := o.core
 	core.Start(time.Now())
 	lastTick := time.Now()
 	timer := time.NewTimer(tickInterval)
 	defer timer.Stop()
 	for {
+		o.progress.Add(1)
 		o.sendOutput()
 		if o.load.summarize(o.instance.log, core.PassCounts()) {
 			o.load.exportWaits(core.LongestWaits(), core.LongestIdle())
--- a/internal/daemon/restore.go
+++ b/internal/daemon/restore.go
@@ -22,6 +22,7 @@
 	jobs         map[string]*scheduler.JobRecord
 	unreadable   map[string]bool // jobs with a record that can't be decoded
 	interference *pb.StoredPairs
+	suspects     map[string]int32 // owners that have failed while they worked on a job
 	intake       []store.Record
 	intakeEnd    []int64 // end offset by partition
 }
@@ -39,7 +40,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "read jobs")
 	}
-	s := &storedState{end: end, jobs: make(map[string]*scheduler.JobRecord, len(records)), unreadable: make(map[string]bool), interference: &pb.StoredPairs{}}
+	s := &storedState{end: end, jobs: make(map[string]*scheduler.JobRecord, len(records)), unreadable: make(map[string]bool), interference: &pb.StoredPairs{}, suspects: make(map[string]int32)}
 	for _, r := range records {
 		err := s.decode(r)
 		if err != nil && r.Key == ownerKey {
@@ -62,6 +63,11 @@
 		return proto.Unmarshal(r.Value, s.owner)
 	case interferenceKey:
 		return proto.UnmarshalOptions{Merge: true}.Unmarshal(r.Value, s.interference)
+	case suspectKey:
+		suspect := &pb.StoredSuspect{}
+		err := proto.Unmarshal(r.Value, suspect)
+		s.suspects[block] = suspect.GetCrashes()
+		return err
 	}
 	job := s.jobs[id]
 	if job == nil {
@@ -80,19 +86,23 @@
 	return proto.Unmarshal(r.Value, job.Blocks[number])
 }
 
-// restoreCore creates the core from stored state. It restores all submissions
-// before it applies cancellations.
-func (i *Instance) restoreCore(s *storedState, now time.Time) *scheduler.Core {
+// coreOptions returns the options of an owner's core.
+func (i *Instance) coreOptions(owner *pb.OwnerRecord) scheduler.Options {
 	bounds := i.settings.GetBounds()
-	core := scheduler.New(scheduler.Options{
-		Epoch:     s.owner.GetEpoch(),
+	return scheduler.Options{
+		Epoch:     owner.GetEpoch(),
 		Lease:     time.Duration(bounds.GetLeaseMs()) * time.Millisecond,
 		HarmLimit: time.Duration(bounds.GetHarmMs()) * time.Millisecond,
 		Retention: time.Duration(bounds.GetStatusS() * float64(time.Second)),
 
 		EvacuationBound: time.Duration(bounds.GetEvacuateMs()) * time.Millisecond,
 		RemoteFactor:    bounds.GetRemoteFactor(),
-	}, now)
+	}
+}
+
+// restoreCore restores stored state in a new core: all submissions before the
+// cancellations.
+func (i *Instance) restoreCore(core *scheduler.Core, s *storedState, now time.Time) {
 	core.RestoreInterference(s.interference)
 	submitted := make(map[string]bool, len(s.intake))
 	for _, r := range s.intake {
@@ -105,6 +115,8 @@
 		sub := record.GetSubmission()
 		switch {
 		case sub == nil:
+		case s.suspects[sub.GetId()] >= maxOwnerCrashes:
+			core.SetAside(sub, s.jobs[sub.GetId()], now)
 		case s.unreadable[sub.GetId()]:
 			core.RestoreUnreadable(sub, now)
 		default:
@@ -118,13 +130,17 @@
 		}
 	}
 	s.removeLeftovers(core, submitted)
-	return core
 }
 
 // removeLeftovers removes what an earlier owner could not remove before its term ended:
 // the states of expired jobs, whose submissions are gone, and blocks that the state of
 // their job does not refer to.
 func (s *storedState) removeLeftovers(core *scheduler.Core, submitted map[string]bool) {
+	for id := range s.suspects {
+		if !submitted[id] {
+			core.RemoveState(suspectKey + blockSeparator + id)
+		}
+	}
 	for id, job := range s.jobs {
 		expired := !submitted[id] && job.State != nil && job.State.GetPhase() != pb.JobPhase_JOB_PHASE_ACTIVE
 		if expired {
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -172,6 +172,7 @@
 
 func (c *Core) startDone(a *attempt, r CommandResult, now time.Time) {
 	w, n := a.worker, &a.job().starts
+	c.working = a.job()
 	switch {
 	case r.NotSent, c.disabled.trustUnanswered && r.Err != nil:
 		n.withheld++
@@ -265,6 +266,7 @@
 				continue
 			}
 		}
+		c.working = a.job()
 		c.noteBegun(a.job())
 		a.listedIn, a.knownClock = w.answers, max(a.knownClock, hold.Clock)
 		if a.seenAt.IsZero() {
@@ -324,6 +326,7 @@
 func (c *Core) endAttempt(a *attempt, reason EndReason, checkpoint string, now time.Time) {
 	t, w := a.task, a.worker
 	j := a.job()
+	c.working = j
 	w.remove(a)
 	if t.step.filler() && w.fillerCPU == 0 {
 		w.fillersEndedAt = now
--- a/internal/scheduler/best_test.go
+++ b/internal/scheduler/best_test.go
@@ -68,8 +68,8 @@
 		jobs.arrive(sim, 100*time.Millisecond)
 		sim.run(100 * time.Millisecond)
 		for _, w := range sim.core.workerList {
-			kept := w.candidate(sim.core.model, sim.core.passCounts.Passes, sim.now)
-			fresh := &candidate{worker: w, model: sim.core.model}
+			kept := w.candidate(sim.core, sim.core.passCounts.Passes, sim.now)
+			fresh := &candidate{worker: w, core: sim.core}
 			fresh.update()
 			c.Assert(kept.free, qt.Equals, fresh.free)
 			c.Assert(kept.load.use, qt.Equals, fresh.load.use)
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -141,6 +141,7 @@
 	blockTasks      int             // see defaultBlockTasks
 	removedQueues   map[string]bool // as logged
 	fenced          bool
+	working         *job // see WorkingOn
 	out             Output
 	disabled        disabledRules
 }
@@ -179,12 +180,22 @@
 // token of a newer owner.
 func (c *Core) Fenced() bool { return c.fenced }
 
+// WorkingOn returns the id of the job that the core has been working on last, "" if
+// there is none. After a panic it is the job that is most likely the cause.
+func (c *Core) WorkingOn() string {
+	if c.working == nil {
+		return ""
+	}
+	return c.working.sub.GetId()
+}
+
 // Submit adds a job of the intake. Later records with the same id are ignored.
 func (c *Core) Submit(sub *pb.Submission, now time.Time) {
 	if _, known := c.jobs[sub.GetId()]; known {
 		return
 	}
 	j := c.addJob(sub, now)
+	c.working = j
 	c.openDueRounds(j, now)
 	c.addLogEntry("job accepted", sub.GetRequestId(), "job", sub.GetId(), "queue", sub.GetQueue(), "steps", len(sub.GetSteps()), "priority", sub.GetPriority())
 	if _, cancelled := c.cancelled[sub.GetId()]; cancelled {
@@ -307,6 +318,7 @@
 	if !j.active() {
 		return
 	}
+	c.working = j
 	j.phase, j.endedAt = phase, now
 	c.finished = append(c.finished, j)
 	c.markChanged(j)
--- a/internal/scheduler/feasibility.go
+++ b/internal/scheduler/feasibility.go
@@ -10,7 +10,7 @@
 // candidate is a worker during a placement pass.
 type candidate struct {
 	worker *worker
-	model  *interference.LatencyModel
+	core   *Core
 	free   Resources
 	load   load
 	// services holds one entry for each service image on the worker.
@@ -54,9 +54,9 @@
 // candidate returns the worker's candidate for a pass. It is kept over passes while
 // nothing changes on the worker: there are many passes a second, and on a large site
 // each of them concerns few workers.
-func (w *worker) candidate(model *interference.LatencyModel, pass int64, now time.Time) *candidate {
+func (w *worker) candidate(c *Core, pass int64, now time.Time) *candidate {
 	if w.kept == nil {
-		w.kept = &candidate{worker: w, model: model}
+		w.kept = &candidate{worker: w, core: c}
 	}
 	if w.changed || w.kept.seenIn < pass-1 {
 		w.kept.changedIn = pass
@@ -88,7 +88,9 @@
 		return
 	}
 	cand.overTarget = cand.worker.refusesFillers
+	before := cand.core.working
 	for _, a := range cand.worker.list {
+		cand.core.working = a.job()
 		cand.fillersRun = cand.fillersRun || a.step().filler() && a.stopReason == "" && !cand.worker.refusesFillers
 		if a.serving() {
 			cand.addService(a)
@@ -96,19 +98,20 @@
 			cand.overAlone = cand.overAlone || a.overrun.Missing() && a.overAlone
 		}
 	}
+	cand.core.working = before
 }
 
 func (cand *candidate) addService(a *attempt) {
 	image := a.step().role.service
-	use := max(a.load.Mean, (a.load.Mean+usualLoad)/2) + cand.model.AddedUtilization(image, cand.load.fillers) -
-		a.ownWeight(cand.model, share(a.step().size.CPUMilli, cand.worker.entry.Capacity.CPUMilli))
+	use := max(a.load.Mean, (a.load.Mean+usualLoad)/2) + cand.core.model.AddedUtilization(image, cand.load.fillers) -
+		a.ownWeight(cand.core.model, share(a.step().size.CPUMilli, cand.worker.entry.Capacity.CPUMilli))
 	for i := range cand.services {
 		if cand.services[i].image == image {
 			cand.services[i].use = max(cand.services[i].use, use)
 			return
 		}
 	}
-	cand.services = append(cand.services, predicted{image, use, cand.model.UtilizationAtTarget(image)})
+	cand.services = append(cand.services, predicted{image, use, cand.core.model.UtilizationAtTarget(image)})
 }
 
 // maxRise returns the largest rise in utilization that a filler with a share of
@@ -117,7 +120,7 @@
 func (cand *candidate) maxRise(filler interference.Filler, part float64) (float64, bool) {
 	most, ok := 0.0, true
 	for _, s := range cand.services {
-		rise := cand.model.Weight(s.image, filler) * part
+		rise := cand.core.model.Weight(s.image, filler) * part
 		most = max(most, rise)
 		if rise > negligibleRise && s.use+rise > s.limit {
 			ok = false
--- a/internal/scheduler/interference.go
+++ b/internal/scheduler/interference.go
@@ -129,6 +129,7 @@
 		if !a.serving() || a.measuredAt != now || a.measured <= 0 || a.progress < 100 {
 			continue
 		}
+		c.working = a.job()
 		settled := now.Sub(a.seenAt) >= settleTime
 		if settled {
 			own := share(a.step().size.CPUMilli*int64(a.confirmedSpeed)/100, w.entry.Capacity.CPUMilli) * overlap(a.seenAt, now, now)
@@ -267,6 +268,7 @@
 // slack returns how much further the utilization of a service may rise before it is
 // expected to miss its target beside the fillers on its worker.
 func (c *Core) slack(service *attempt, fillers []interference.Share) float64 {
+	c.working = service.job()
 	image := service.step().role.service
 	left := c.model.UtilizationAtTarget(image) - service.load.Mean +
 		service.ownWeight(c.model, share(service.step().size.CPUMilli*int64(service.speed)/100, service.worker.entry.Capacity.CPUMilli))
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -31,6 +31,7 @@
 	changed  bool        // has changes that are in no batch yet
 	accepted *Queue      // the policy of the queue when the job was accepted, see queue
 	blocks   *taskBlocks // nil if the tasks are recorded with the job
+	setAside bool        // see Core.SetAside
 	// unstorable is set if the store has rejected the job's record.
 	unstorable bool
 }
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -137,6 +137,7 @@
 // appendRanks appends the ranks of a step. A step with starving tasks has two: one for
 // these and one for all its tasks.
 func (c *Core) appendRanks(list []rank, s *step, now time.Time) []rank {
+	c.working = s.round.job
 	schedule := c.scheduleOf(s, now)
 	r := rank{step: s, standing: schedule.standing(now), due: schedule.due()}
 	if c.disabled.earliestDueFirst {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -129,7 +129,7 @@
 		p.core.passCounts.Looks += int64(len(p.core.workerList))
 		for _, w := range p.core.workerList {
 			if w.entry.Pool == name && w.usable(p.now) && !p.core.evacuated(w) {
-				cand := w.candidate(p.core.model, p.number, p.now)
+				cand := w.candidate(p.core, p.number, p.now)
 				if cand.updatedIn == p.number {
 					p.core.passCounts.Updated++
 				}
@@ -164,6 +164,7 @@
 		return // the queue was removed, so no worker may run its jobs
 	}
 	candidates := p.pool(q.Pool)
+	p.core.working = s.round.job
 	if s.overcommitted > 0 {
 		p.promote(s)
 		if s.waiting == 0 {
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -90,6 +90,7 @@
 	if j == nil {
 		return
 	}
+	c.working = j
 	defer j.restoreWaits(now)
 	defer c.openDueRounds(j, now)
 	if record == nil || record.State == nil {
@@ -120,6 +121,23 @@
 	}
 }
 
+// SetAside adds a job under which earlier owners have failed. Nothing of it is restored,
+// and what of it still runs is stopped without being tracked.
+func (c *Core) SetAside(sub *pb.Submission, record *JobRecord, now time.Time) {
+	j := c.addJob(sub, now)
+	if j == nil {
+		return
+	}
+	j.setAside = true
+	if record != nil && record.State.GetPhase() != pb.JobPhase_JOB_PHASE_ACTIVE && record.State.GetPhase() != pb.JobPhase_JOB_PHASE_UNSPECIFIED {
+		j.phase = record.State.GetPhase()
+		c.restoreEnd(j, record.State, now)
+		j.visible = j.state()
+		return
+	}
+	c.finish(j, pb.JobPhase_JOB_PHASE_FAILED, "owners fail while they work on it", now)
+}
+
 // stopUnwanted stops restored attempts of ended jobs and completed tasks that the
 // previous owner had not stopped.
 func (j *job) stopUnwanted(c *Core, now time.Time) {
--- a/internal/scheduler/roles_test.go
+++ b/internal/scheduler/roles_test.go
@@ -120,3 +120,31 @@
 		}
 	}
 }
+
+// Guards against a job under which each owner fails and that is not known afterwards, so
+// that no owner can leave it out.
+func TestJobOfAFailureIsKnown(t *testing.T) {
+	for _, takeOver := range []bool{false, true} {
+		sim := newSimulation(1, 3)
+		sim.taskFor = func(AttemptID) simTask { return simTask{longRunning: true, latencyMS: 5} }
+		for n := range 4 {
+			s := simStepSpec(3, 500)
+			s.Lasting, s.Image, s.LatencyTargetMs = true, "i", 20
+			sim.submit(simJob(n, s))
+		}
+		sim.run(time.Second)
+		if takeOver {
+			sim.takeOver()
+		}
+		failing := sim.core.jobs[simJob(2).GetId()]
+		failing.rounds[0].steps[0].role.service = 1000
+		failed := func() (failed any) {
+			defer func() { failed = recover() }()
+			sim.submit(simJob(9, simStepSpec(3, 500)))
+			sim.run(time.Second)
+			return nil
+		}()
+		qt.Assert(t, failed, qt.IsNotNil)
+		qt.Check(t, sim.core.WorkingOn(), qt.Equals, simJob(2).GetId())
+	}
+}
--- a/internal/scheduler/rounds.go
+++ b/internal/scheduler/rounds.go
@@ -219,7 +219,7 @@
 	if id.Round < 0 || id.Round >= j.times() || id.Step < 0 || id.Step >= len(steps) || id.Task < 0 || id.Task >= int(steps[id.Step].GetTasks()) {
 		return nil
 	}
-	if id.Round >= j.nextRound && j.active() {
+	if j.setAside || id.Round >= j.nextRound && j.active() {
 		return nil
 	}
 	n, found := j.findRound(id.Round)
