scheduler: conclusions from absence need a whole list

Cause: the answer to a hold lists 500 ends at most, and the core took attempts that such a list lacks for lost; at the first answer after a takeover as well. Ends that failed and were listed after their attempt counted as lost were not counted as failures.

Change: wholeList is an answer that lacks no end, and both conclusions from absence are its methods. An attempt of an earlier owner is lost when any whole list lacks it. Late failures count, once each by the stored numbers of the failed attempts. The emulator and the simulation list 500 ends at most.

--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -408,6 +408,10 @@
 	writeJSON(rw, http.StatusOK, map[string]any{"ClockMs": w.clock().Milliseconds(), "born": w.incarnation, "Active": active, "Finished": ended})
 }
 
+// maxListedEnds is the number of ends that the response to hold lists at most. The others
+// follow once these are acknowledged.
+const maxListedEnds = 500
+
 // lists returns the active and the ended attempts as they are listed in the response
 // to hold. The caller holds the lock.
 func (w *Worker) lists() (active, ended [][]any) {
@@ -415,7 +419,7 @@
 	for _, attempt := range w.active {
 		active = append(active, w.row(attempt))
 	}
-	for _, e := range w.ended {
+	for _, e := range w.ended[:min(len(w.ended), maxListedEnds)] {
 		ended = append(ended, []any{e.number, e.task, e.attempt, e.outcome, ""})
 	}
 	return active, ended
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -235,7 +235,7 @@
 
 // handleLateEnd handles the end of an attempt that the core no longer tracks. If
 // the attempt completed the task, the task is marked as done: it must not be
-// started again once the worker has discarded the end.
+// started again once the worker has discarded the end. If it failed, that counts.
 func (c *Core) handleLateEnd(w *worker, e EndedAttempt, now time.Time) {
 	j := c.jobs[e.AttemptID.Job]
 	if j == nil || !j.active() {
@@ -246,6 +246,13 @@
 		return
 	}
 	c.withdrawCrash(t, e.AttemptID.Number)
+	// Where an earlier version has stored the number of failures only, this one may be among them.
+	counts := len(t.failedRuns) == t.failures
+	if e.Reason == EndFailed && counts && t.addFailure(e.AttemptID.Number) {
+		c.addLogEntry("late failure", j.sub.GetRequestId(), "run", e.AttemptID.String(), "worker", w.id, "failures", t.failures)
+		c.markTaskChanged(t)
+		c.failIfExhausted(t, now)
+	}
 	if e.Reason != EndDone {
 		return
 	}
--- a/internal/scheduler/disabled.go
+++ b/internal/scheduler/disabled.go
@@ -9,6 +9,7 @@
 	startUnrecorded      bool // starts are sent before they are recorded
 	trustUnanswered      bool // a start without an answer counts as never carried out
 	waitForAnswers       bool // an attempt whose start and stops have no answer may start at any time
+	trustCutLists        bool // concludes from lists that lack ends
 	trustLists           bool // an attempt without an answer that is not listed can't start any more
 	discardUnrecorded    bool // workers discard ends before they are recorded
 	keepCursor           bool // a restarted worker is sent the cursor from before its restart
--- a/internal/scheduler/failures.go
+++ b/internal/scheduler/failures.go
@@ -8,15 +8,23 @@
 )
 
 // countFailure counts a failed attempt, whether the task or its worker is at fault.
-// Long-running tasks are retried without a limit.
 func (c *Core) countFailure(a *attempt, now time.Time) {
 	t := a.task
 	t.avoid = a.worker.id
 	t.notBefore = now.Add(retryDelay)
-	if t.step.longRunning() {
-		return
+	t.addFailure(a.attemptID.Number)
+}
+
+// addFailure counts a failed attempt once, however often its end is listed: a new owner
+// sees the ends again that the earlier one has recorded and not let the worker discard.
+// Long-running tasks are retried without a limit.
+func (t *task) addFailure(number int) bool {
+	if t.step.longRunning() || slices.Contains(t.failedRuns, number) {
+		return false
 	}
 	t.failures++
+	t.failedRuns = append(t.failedRuns, number)
+	return true
 }
 
 // failIfExhausted ends the job of a task that has failed as often as allowed, unless
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -86,6 +86,7 @@
 	done        bool
 	lastAttempt int // number of the newest attempt
 	failures    int
+	failedRuns  []int // numbers of the failed attempts
 	checkpoint  string
 	crashes     []crash // since the task last outlived the earlier ones
 	// limitedStarts counts the starts sent since limitedCrashes workers have crashed.
--- a/internal/scheduler/loss.go
+++ b/internal/scheduler/loss.go
@@ -21,16 +21,34 @@
 	lossNotStarted lossCause = "not_started"
 )
 
+// wholeList is the answer to a hold that lists all ends which the worker has kept. What it
+// lacks has not ended there unseen: only such an answer allows a conclusion from what is
+// absent.
+type wholeList struct {
+	clock  time.Duration
+	sentAt time.Time // when the hold was sent
+}
+
+// wholeList returns the answer as a list to conclude from, false if ends may be missing
+// from it.
+func (h *HoldReply) wholeList(sentAt time.Time) (wholeList, bool) {
+	return wholeList{h.Clock, sentAt}, len(h.Ended) < maxListedEnds
+}
+
 // loseUnlisted ends the attempts that a worker doesn't list in the answer to a hold
 // although they are not active there any more, or never were.
 func (c *Core) loseUnlisted(w *worker, hold *HoldReply, sentAt, now time.Time) {
+	list, whole := hold.wholeList(sentAt)
+	if !whole && !c.disabled.trustCutLists {
+		return // the next answer lists further ends
+	}
 	cause := func(a *attempt) lossCause {
 		switch {
 		case a.listedIn == w.answers || !a.recorded:
 			return ""
-		case a.endedIfUnlisted(w, hold.Clock, sentAt):
+		case list.showsEnd(a):
 			return lossUnlisted
-		case a.notStartedIfUnlisted(hold, c.disabled.trustLists) && !c.disabled.waitForAnswers:
+		case list.showsNoStart(a, c.disabled.trustLists) && !c.disabled.waitForAnswers:
 			return lossNotStarted
 		default:
 			return ""
@@ -46,30 +64,24 @@
 	}
 }
 
-// endedIfUnlisted reports whether an attempt that a worker doesn't list in the
-// answer to a hold has ended and can't start any more. That is so if its start or
-// its stop was answered, or it was listed, before the hold was sent, or if this
-// answer is the worker's first to this owner's token, since the worker then refuses
-// starts that an earlier owner has sent. A list that was made before the newest answer
+// showsEnd reports whether an attempt that is not listed has ended and can't start any
+// more. That is so if its start or its stop was answered, or it was listed, before the
+// hold was sent, or if an earlier owner has sent its start, since a worker that has
+// answered this owner's hold refuses it. A list that was made before the newest answer
 // about the attempt shows nothing, whenever its hold was sent.
-func (a *attempt) endedIfUnlisted(w *worker, clock time.Duration, sentAt time.Time) bool {
-	if !w.adopted {
-		return true
-	}
-	if clock <= a.knownClock {
+func (l wholeList) showsEnd(a *attempt) bool {
+	if l.clock <= a.knownClock {
 		return false
 	}
-	before := func(t time.Time) bool { return !t.IsZero() && t.Before(sentAt) }
-	return before(a.startedAt) || before(a.stoppedAt) || before(a.seenAt)
+	before := func(t time.Time) bool { return !t.IsZero() && t.Before(l.sentAt) }
+	return a.restored || before(a.startedAt) || before(a.stoppedAt) || before(a.seenAt)
 }
 
-// notStartedIfUnlisted reports whether an attempt that a worker doesn't list in the answer
-// to a hold, nor its end, has never run and can't start any more. That is so if the lease
-// that its start carries was over when the worker made the list: it refuses such a start.
-// A list with as many ends as fit may lack the attempt's.
-func (a *attempt) notStartedIfUnlisted(hold *HoldReply, trustLists bool) bool {
-	return a.startLease > 0 && a.startedAt.IsZero() && a.seenAt.IsZero() && len(hold.Ended) < maxListedEnds &&
-		(trustLists || hold.Clock > a.startLease+leaseSlack)
+// showsNoStart reports whether an attempt that is not listed, nor its end, has never run
+// and can't start any more. That is so if the lease that its start carries was over when
+// the worker made the list: it refuses such a start.
+func (l wholeList) showsNoStart(a *attempt, trustLists bool) bool {
+	return a.startLease > 0 && a.startedAt.IsZero() && a.seenAt.IsZero() && (trustLists || l.clock > a.startLease+leaseSlack)
 }
 
 // loseAttempt ends an attempt that its worker no longer runs. Its task has waited since
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -69,6 +69,9 @@
 	if !t.done {
 		out.Checkpoint = t.checkpoint
 	}
+	for _, number := range t.failedRuns {
+		out.FailedRuns = append(out.FailedRuns, int32(number))
+	}
 	for _, a := range t.attempts {
 		out.Attempts = append(out.Attempts, &pb.StoredAttempt{
 			Run: int32(a.attemptID.Number), Worker: a.worker.id, PlacedMs: a.placedAt.UnixMilli(), Incarnation: a.incarnation, Address: a.worker.entry.Address,
@@ -219,6 +222,9 @@
 	s.openUntil(index + 1)
 	t := s.taskByIndex(index)
 	t.lastAttempt, t.failures, t.checkpoint = int(stored.GetRun()), int(stored.GetFailures()), stored.GetCheckpoint()
+	for _, number := range stored.GetFailedRuns() {
+		t.failedRuns = append(t.failedRuns, int(number))
+	}
 	if !c.disabled.forgetCrashes {
 		c.restoreCrashes(t, stored.GetCrashes(), now)
 	}
--- a/internal/scheduler/simulated_worker_test.go
+++ b/internal/scheduler/simulated_worker_test.go
@@ -145,7 +145,7 @@
 		return
 	}
 	sw.pendingHold = nil
-	reply := HoldReply{Clock: sw.clock(), Incarnation: sw.incarnation, Ended: slices.Clone(sw.ended)}
+	reply := HoldReply{Clock: sw.clock(), Incarnation: sw.incarnation, Ended: slices.Clone(sw.ended[:min(len(sw.ended), maxListedEnds)])}
 	for _, r := range sw.activeAttempts() {
 		percent := 100
 		if !r.task.longRunning {
