daemon: witnesses tell when a lost owner acted last

Cause: the proof that an earlier owner doesn't act any more told nothing of when it had stopped, so that a whole lease was waited for after it, and an owner that is gone for good was waited for as long as it may act without the store.

Change: an instance tells for how long it hasn't been the owner. An owner names witnesses in its record and acts only while a quorum of them grants; a newer owner has them revoke and learns when the earlier one acted last. Leases count from then.

--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -236,7 +236,7 @@
 func (s *jobsServer) JobState(ctx context.Context, r *pb.JobStateRequest) (*pb.JobStateReply, error) {
 	o := (*Instance)(s).currentTerm()
 	if o == nil {
-		return &pb.JobStateReply{}, nil
+		return &pb.JobStateReply{NotOwnerMs: (*Instance)(s).notOwnerFor().Milliseconds()}, nil
 	}
 	state, err := o.state(ctx, r.GetId())
 	return &pb.JobStateReply{Owner: err == nil, State: state}, err
--- a/internal/daemon/commit.go
+++ b/internal/daemon/commit.go
@@ -15,8 +15,12 @@
 
 // commitBatch appends a batch under the epoch of the term and notifies the core when it
 // is stored. It repeats each append until the store has responded. Repeating it is safe,
-// since the store carries out a sequence number only once.
-func (o *ownerTerm) commitBatch(b *scheduler.Batch, owner *pb.OwnerRecord) {
+// since the store carries out a sequence number only once. The owner's record goes with it
+// if there are channels in recordQueued, which it closes.
+func (o *ownerTerm) commitBatch(b *scheduler.Batch, owner *pb.OwnerRecord, recordQueued []chan struct{}) {
+	if len(recordQueued) == 0 {
+		owner = nil
+	}
 	groups, err := o.encodeBatch(b, owner)
 	if err != nil {
 		o.endTerm("batch cannot be encoded: " + err.Error())
@@ -32,6 +36,9 @@
 			b.Rejected = append(b.Rejected, id)
 		}
 	}
+	for _, stored := range recordQueued {
+		close(stored)
+	}
 	o.post(workCommitted, func(c *scheduler.Core, now time.Time) {
 		o.appending = false
 		c.Committed(b, now)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"gooseberryreel/internal/relay"
 	"gooseberryreel/internal/scheduler"
 	"gooseberryreel/internal/store"
+	"gooseberryreel/internal/witness"
 	"gooseberryreel/platform"
 )
 
@@ -90,8 +91,12 @@
 	faulty       atomic.Bool // see fail
 	exit         func()
 
+	witness *witness.Witness
+
 	mu   sync.Mutex
 	term *ownerTerm // nil while this instance is not the owner
+	// notOwnerSince is the boot time at which the last term ended, or the process started.
+	notOwnerSince time.Duration
 
 	listeners struct{ api, ready, metrics, peer net.Listener }
 }
@@ -100,7 +105,7 @@
 // one of its addresses.
 func New(o Options) (*Instance, error) {
 	s := o.Settings
-	i := &Instance{settings: s, log: o.Logger, store: o.Store, advice: o.Advice, registry: prometheus.NewRegistry(), ownerChanged: make(chan struct{}, 1), limits: newRecordLimits(s.GetStore())}
+	i := &Instance{settings: s, log: o.Logger, store: o.Store, advice: o.Advice, registry: prometheus.NewRegistry(), ownerChanged: make(chan struct{}, 1), witness: newWitness(), notOwnerSince: bootTime(), limits: newRecordLimits(s.GetStore())}
 	if i.store == nil {
 		i.store = platform.NewStoreClient(s.GetStore().GetAddress(), i.observeUnexpected)
 	}
--- a/internal/daemon/earlier_owners.go
+++ b/internal/daemon/earlier_owners.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"gooseberryreel/internal/pb"
 	"gooseberryreel/internal/scheduler"
+	"gooseberryreel/internal/witness"
 )
 
 const (
@@ -18,6 +20,9 @@
 	// earlierOwnerRecordInterval is how often the owner records for how long the earlier
 	// owners have been replaced.
 	earlierOwnerRecordInterval = time.Second
+	// clockTolerance is by how much, relative to a time span, the clocks of two machines
+	// may differ.
+	clockTolerance = 0.02
 )
 
 // earlierOwners returns the owners that may still send commands when a claim
@@ -31,66 +36,111 @@
 	return append(previous.GetEarlier(), last)
 }
 
-// waitForEarlierOwners queries the earlier owners until each has replied that it no
-// longer owns the jobs, or has been replaced for so long that its term must have ended. A
-// refused connection proves nothing, since a network partition may also refuse
-// connections. Meanwhile it records for how long they have been replaced, so that the
-// next owner does not wait for all of that time again.
+// earlierOwner is what a newer owner knows of an earlier one.
+type earlierOwner struct {
+	record     *pb.OwnerRecord
+	revocation *witness.Revocation
+	// stoppedAt is the boot time at which it stopped acting at the latest, as far as known.
+	stoppedAt time.Duration
+	known     bool
+}
+
+// stopped records that the owner stopped acting at a boot time at the latest.
+func (e *earlierOwner) stopped(at time.Duration) {
+	if !e.known || at < e.stoppedAt {
+		e.known, e.stoppedAt = true, at
+	}
+}
+
+// waitForEarlierOwners finds out when the earlier owners stopped acting: each replies that
+// it no longer owns the jobs and since when, its witnesses tell when they last let it act,
+// or it has been replaced for so long that its term must have ended. A refused connection
+// proves nothing, since a network partition may also refuse connections. Meanwhile it
+// records for how long they have been replaced, so that the next owner does not wait for
+// all of that time again.
 func (o *ownerTerm) waitForEarlierOwners(self *pb.OwnerRecord) {
-	i := o.instance
-	remaining := slices.Clone(self.GetEarlier())
+	var remaining []*earlierOwner
+	for _, r := range self.GetEarlier() {
+		remaining = append(remaining, &earlierOwner{record: r, revocation: witness.NewRevocation(len(r.GetWitnesses()))})
+	}
 	start := time.Now()
 	recorded := start
+	var stoppedAt time.Duration // of the last one
 	for o.ctx.Err() == nil {
-		remaining = slices.DeleteFunc(remaining, func(earlier *pb.OwnerRecord) bool {
-			if earlier.GetPeerAddress() == i.peerAddress() {
-				return true // an earlier term of this process or of an earlier process at its address
+		var group sync.WaitGroup
+		for _, e := range remaining {
+			group.Go(func() { o.revoke(e) })
+			group.Go(func() { o.askEarlierOwner(e, time.Since(start)) })
+		}
+		group.Wait()
+		remaining = slices.DeleteFunc(remaining, func(e *earlierOwner) bool {
+			if at, ok := e.revocation.EndedAt(); ok {
+				e.stopped(at)
 			}
-			if replacedFor(earlier, time.Since(start)) >= scheduler.OwnerGrace {
-				return true
+			if e.known {
+				stoppedAt = max(stoppedAt, e.stoppedAt)
 			}
-			owns := true
-			err := i.callOwner(o.ctx, earlier.GetPeerAddress(), func(ctx context.Context, c pb.DRPCJobsClient) error {
-				reply, err := c.JobState(ctx, &pb.JobStateRequest{})
-				owns = reply.GetOwner()
-				return err
-			})
-			return err == nil && !owns
+			return e.known
 		})
 		if len(remaining) == 0 {
 			break
 		}
 		if time.Since(recorded) >= earlierOwnerRecordInterval {
 			recorded = time.Now()
-			record := withEarlier(self, remaining, recorded.Sub(start))
-			o.post(workConfig, func(*scheduler.Core, time.Time) { o.updatedOwner = record })
+			elapsed := recorded.Sub(start)
+			var records []*pb.OwnerRecord
+			for _, e := range remaining {
+				records = append(records, e.record)
+			}
+			o.updateRecord(func(r *pb.OwnerRecord) { r.Earlier = stillEarlier(records, elapsed) })
 		}
 		sleep(o.ctx, earlierOwnerPollInterval)
 	}
 	if o.ctx.Err() != nil {
 		return
 	}
-	record := withEarlier(self, nil, 0)
+	o.updateRecord(func(r *pb.OwnerRecord) { r.Earlier = nil })
 	o.post(workConfig, func(c *scheduler.Core, now time.Time) {
-		c.ConfirmNoEarlierOwner(now)
-		o.updatedOwner = record
+		c.ConfirmNoEarlierOwner(now.Add(stoppedAt-bootTime()), now)
 	})
 }
 
+// askEarlierOwner asks an earlier owner whether and since when it doesn't own the jobs,
+// unless its term must have ended anyhow.
+func (o *ownerTerm) askEarlierOwner(e *earlierOwner, elapsed time.Duration) {
+	i := o.instance
+	if e.record.GetPeerAddress() == i.peerAddress() {
+		e.stopped(o.notOwnerSince) // an earlier term of this process or of an earlier process at its address
+		return
+	}
+	if over := replacedFor(e.record, elapsed) - scheduler.OwnerGrace; over >= 0 {
+		e.stopped(bootTime() - over)
+		return
+	}
+	var reply *pb.JobStateReply
+	err := i.callOwner(o.ctx, e.record.GetPeerAddress(), func(ctx context.Context, c pb.DRPCJobsClient) (err error) {
+		reply, err = c.JobState(ctx, &pb.JobStateRequest{})
+		return err
+	})
+	if err == nil && !reply.GetOwner() {
+		ago := time.Duration(reply.GetNotOwnerMs()) * time.Millisecond
+		e.stopped(bootTime() - time.Duration(float64(ago)*(1-clockTolerance)))
+	}
+}
+
 // replacedFor returns for how long an earlier owner has been replaced at least, after the
 // given time of a term.
 func replacedFor(earlier *pb.OwnerRecord, elapsed time.Duration) time.Duration {
 	return time.Duration(earlier.GetReplacedMs())*time.Millisecond + elapsed
 }
 
-// withEarlier returns an owner's record with the given earlier owners.
-func withEarlier(self *pb.OwnerRecord, earlier []*pb.OwnerRecord, elapsed time.Duration) *pb.OwnerRecord {
-	record := proto.CloneOf(self)
-	record.Earlier = nil
+// stillEarlier returns the records of earlier owners after the given time of a term.
+func stillEarlier(earlier []*pb.OwnerRecord, elapsed time.Duration) []*pb.OwnerRecord {
+	var list []*pb.OwnerRecord
 	for _, e := range earlier {
 		e = proto.CloneOf(e)
 		e.ReplacedMs = replacedFor(e, elapsed).Milliseconds()
-		record.Earlier = append(record.Earlier, e)
+		list = append(list, e)
 	}
-	return record
+	return list
 }
--- a/internal/daemon/earlier_owners_test.go
+++ b/internal/daemon/earlier_owners_test.go
@@ -97,8 +97,8 @@
 	c := qt.New(t)
 	first := &pb.OwnerRecord{Epoch: 1, Instance: "a"}
 	second := &pb.OwnerRecord{Epoch: 2, Instance: "b", Earlier: earlierOwners(first)}
-	second = withEarlier(second, second.GetEarlier(), 3*time.Second)
-	second = withEarlier(second, second.GetEarlier(), 0)
+	second.Earlier = stillEarlier(second.GetEarlier(), 3*time.Second)
+	second.Earlier = stillEarlier(second.GetEarlier(), 0)
 	c.Check(second.GetEarlier()[0].GetReplacedMs(), qt.Equals, int64(3000))
 	third := &pb.OwnerRecord{Epoch: 3, Instance: "c", Earlier: earlierOwners(second)}
 	c.Assert(third.GetEarlier(), qt.HasLen, 2)
--- a/internal/daemon/owner_term.go
+++ b/internal/daemon/owner_term.go
@@ -8,12 +8,14 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"gooseberryreel/internal/leader"
 	"gooseberryreel/internal/pb"
 	"gooseberryreel/internal/relay"
 	"gooseberryreel/internal/scheduler"
 	"gooseberryreel/internal/store"
+	"gooseberryreel/internal/witness"
 )
 
 const (
@@ -71,14 +73,18 @@
 	// The fields below are used by loop, and sequence by the append in flight.
 	sequence     int64
 	appending    bool
-	updatedOwner *pb.OwnerRecord // owner record with the present earlier owners, to be appended with the next batch
+	record       *pb.OwnerRecord
+	recordQueued []chan struct{} // closed when the present record is stored, empty if it is
 	lastBatch    time.Time
 	evacuations  evacuationView
 	load         *loopLoad
 
-	suspects map[string]int32 // owners that have failed under a job, as of the takeover
-	progress atomic.Int64     // iterations of loop
-	stuck    atomic.Bool      // see watchLoop
+	grants atomic.Pointer[witness.Grants] // nil while the owner acts without witnesses
+	// notOwnerSince is the boot time at which the instance had stopped acting before the term.
+	notOwnerSince time.Duration
+	suspects      map[string]int32 // owners that have failed under a job, as of the takeover
+	progress      atomic.Int64     // iterations of loop
+	stuck         atomic.Bool      // see watchLoop
 }
 
 // currentTerm returns the term of this instance, nil if it is not the owner.
@@ -92,10 +98,19 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.term = o
-	i.metrics.owner.Set(0)
 	if o != nil {
 		i.metrics.owner.Set(1)
+		return
 	}
+	i.metrics.owner.Set(0)
+	i.notOwnerSince = bootTime()
+}
+
+// notOwnerFor returns for how long this instance has not owned the job state.
+func (i *Instance) notOwnerFor() time.Duration {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return bootTime() - i.notOwnerSince
 }
 
 // runTerm runs a term until the ownership is lost or stopCtx ends.
@@ -103,7 +118,7 @@
 	ctx, cancel := context.WithCancel(workCtx)
 	defer cancel()
 	o := &ownerTerm{
-		instance: i, epoch: s.owner.GetEpoch(), ctx: ctx, end: cancel, suspects: s.suspects,
+		instance: i, epoch: s.owner.GetEpoch(), ctx: ctx, end: cancel, suspects: s.suspects, record: s.owner, notOwnerSince: bootTime() - i.notOwnerFor(),
 		events: make(chan event, maxQueuedEvents), done: make(chan struct{}),
 		sequence: 1, intakeCursors: s.intakeEnd, intakeRead: make([]storeContact, len(s.intakeEnd)),
 	}
@@ -139,6 +154,7 @@
 	run(func() { o.maintainRelays() })
 	run(func() { o.publishBacklogs() })
 	run(func() { o.waitForEarlierOwners(s.owner) })
+	run(o.keepWitnesses)
 	run(o.watchLoop)
 	go func() {
 		select {
@@ -148,10 +164,10 @@
 		}
 	}()
 	o.loop()
+	cancel() // nothing is sent from here on
 	close(o.done)
 	i.setCurrentTerm(nil)
 	i.metrics.evacuations.clear()
-	cancel()
 	group.Wait()
 	if err := i.store.Leave(workCtx, ownerGroup, memberName); err != nil {
 		i.log.WithField("event", "leave failed").WithError(err).Warn("membership")
@@ -209,6 +225,18 @@
 	}
 }
 
+// updateRecord changes the owner's record and has it stored with the next batch. The
+// channel is closed once it is.
+func (o *ownerTerm) updateRecord(change func(*pb.OwnerRecord)) <-chan struct{} {
+	stored := make(chan struct{})
+	o.post(workConfig, func(*scheduler.Core, time.Time) {
+		o.record = proto.CloneOf(o.record)
+		change(o.record)
+		o.recordQueued = append(o.recordQueued, stored)
+	})
+	return stored
+}
+
 // post queues an event for the loop. The event is dropped if the term ends first.
 func (o *ownerTerm) post(kind workKind, f func(*scheduler.Core, time.Time)) {
 	select {
@@ -316,10 +344,10 @@
 	now := time.Now()
 	defer o.load.done(workOutput)
 	if !o.appending && now.Sub(o.lastBatch) >= minBatchInterval {
-		if batch := o.core.TakeBatch(now); !batch.Empty() || o.updatedOwner != nil {
+		if batch := o.core.TakeBatch(now); !batch.Empty() || len(o.recordQueued) > 0 {
 			o.appending, o.lastBatch = true, now
-			go o.commitBatch(batch, o.updatedOwner)
-			o.updatedOwner = nil
+			go o.commitBatch(batch, o.record, o.recordQueued)
+			o.recordQueued = nil
 		}
 		o.load.done(workRecords)
 	}
--- a/internal/daemon/relay.go
+++ b/internal/daemon/relay.go
@@ -95,10 +95,15 @@
 	return o.router.ServeRelay(stream)
 }
 
-// mayAct reports whether the term may still send commands: it is not over, and the store
-// has confirmed recently enough that there is no newer owner.
+// mayAct reports whether the term may still send commands: it is not over, the store has
+// confirmed recently enough that there is no newer owner, and the owner's witnesses, if it
+// has any, let it act.
 func (o *ownerTerm) mayAct() bool {
-	return o.ctx.Err() == nil && o.confirmed.age() < scheduler.OwnerGrace
+	if o.ctx.Err() != nil || o.confirmed.age() >= scheduler.OwnerGrace {
+		return false
+	}
+	grants := o.grants.Load()
+	return grants == nil || grants.Valid(bootTime())
 }
 
 // deliver passes results of commands to the core.
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -183,19 +183,19 @@
 	c.addLogEntry("worker", "", "worker", w.id, "zone", e.Zone, "rack", e.Rack, "draining", e.Draining, "cpu_milli", e.Capacity.CPUMilli)
 }
 
-// ConfirmNoEarlierOwner records that no earlier owner sends commands any more. What
-// one of them has started on a worker that doesn't answer runs for at most one more
-// lease.
-func (c *Core) ConfirmNoEarlierOwner(now time.Time) {
+// ConfirmNoEarlierOwner records that no earlier owner has sent commands since a time. What
+// one of them has started on a worker that doesn't answer runs for at most one lease from
+// then on.
+func (c *Core) ConfirmNoEarlierOwner(stoppedAt, now time.Time) {
 	c.noEarlierOwner = true
-	end := now.Add(time.Duration(float64(c.opts.Lease)*clockDriftFactor) + leaseSlack)
+	end := stoppedAt.Add(time.Duration(float64(c.opts.Lease)*clockDriftFactor) + leaseSlack)
 	for _, w := range c.workerList {
 		if !w.adopted && w.leaseEnd.After(end) {
 			w.leaseEnd = end
 			c.visitSoon(w)
 		}
 	}
-	c.addLogEntry("no earlier owner", "", "epoch", c.opts.Epoch)
+	c.addLogEntry("no earlier owner", "", "epoch", c.opts.Epoch, "stopped_ms_ago", now.Sub(stoppedAt).Milliseconds(), "leases_end_in_ms", end.Sub(now).Milliseconds())
 }
 
 // RemoveWorker handles the removal of a worker's entry. Its attempts are kept until
