interference: the model holds a bounded number of images

Cause: a covariance of each pair of filler images for each service image was kept for good.

Change: the model distinguishes 128 filler and 64 service images. Images that no step of an open round has are forgotten when no index is left; if all are in use, further ones share an index.

--- a/internal/interference/latency_model.go
+++ b/internal/interference/latency_model.go
@@ -19,15 +19,13 @@
 // increase, where gradient descent would spread the error over all of them. The
 // own load of each task varies within seconds and is tracked by a LoadEstimate.
 //
-// Images are identified by index, so that predictions cost little.
+// Images are identified by index, so that predictions cost little. There are at most
+// MaxServices and MaxFillers of them.
 type LatencyModel struct {
-	services     map[string]Service
-	fillers      map[string]Filler
-	serviceNames []string
-	fillerNames  []string
-	filters      []*serviceFilter // by service
-	version      int64
-	scratch      []float64 // of Observe
+	services, fillers images
+	filters           []*serviceFilter // by service
+	version           int64
+	scratch           []float64 // of Observe
 }
 
 // serviceFilter is the Kalman filter of one service. It holds the means and the
@@ -86,9 +84,16 @@
 	Share  float64 // 0 to 1
 }
 
+// MaxServices and MaxFillers are the numbers of images that the model distinguishes. It
+// holds a covariance of each pair of fillers for each service.
+const (
+	MaxServices = 64
+	MaxFillers  = 128
+)
+
 // NewLatencyModel returns a model without images and observations.
 func NewLatencyModel() *LatencyModel {
-	return &LatencyModel{services: make(map[string]Service), fillers: make(map[string]Filler)}
+	return &LatencyModel{services: newImages(MaxServices), fillers: newImages(MaxFillers)}
 }
 
 // NewLoadEstimate returns the estimate for a task without measurements.
@@ -98,32 +103,48 @@
 
 // ServiceIndex returns the index of a service image. It adds an unknown image.
 func (m *LatencyModel) ServiceIndex(image string) Service {
-	n, found := m.services[image]
-	if !found {
-		n = Service(len(m.filters))
-		m.services[image] = n
-		m.serviceNames = append(m.serviceNames, image)
-		filter := &serviceFilter{floor: initialFloor}
-		for range m.fillerNames {
-			filter.addFiller()
-		}
-		m.filters = append(m.filters, filter)
+	n, added := m.services.lookUp(image)
+	if !added {
+		return Service(n)
 	}
-	return n
+	filter := &serviceFilter{floor: initialFloor}
+	for range m.fillers.names {
+		filter.addFiller()
+	}
+	if n == len(m.filters) {
+		m.filters = append(m.filters, nil)
+	}
+	m.filters[n] = filter
+	return Service(n)
 }
 
 // FillerIndex returns the index of a filler image. It adds an unknown image.
 func (m *LatencyModel) FillerIndex(image string) Filler {
-	n, found := m.fillers[image]
-	if !found {
-		n = Filler(len(m.fillerNames))
-		m.fillers[image] = n
-		m.fillerNames = append(m.fillerNames, image)
-		for _, filter := range m.filters {
+	n, added := m.fillers.lookUp(image)
+	if !added {
+		return Filler(n)
+	}
+	for _, filter := range m.filters {
+		if n == len(filter.mean) {
 			filter.addFiller()
+		} else {
+			filter.resetFiller(n)
 		}
 	}
-	return n
+	return Filler(n)
+}
+
+// Full reports whether further images share an index.
+func (m *LatencyModel) Full() bool { return m.services.full() || m.fillers.full() }
+
+// Forget forgets images that are not in use, so that their indexes are free.
+func (m *LatencyModel) Forget(serviceInUse func(Service) bool, fillerInUse func(Filler) bool) {
+	if m.services.full() {
+		m.services.forget(func(n int) bool { return serviceInUse(Service(n)) })
+	}
+	if m.fillers.full() {
+		m.fillers.forget(func(n int) bool { return fillerInUse(Filler(n)) })
+	}
 }
 
 // addFiller adds a filler without observations.
@@ -138,6 +159,15 @@
 	filter.cov = append(filter.cov, row)
 }
 
+// resetFiller replaces a filler by one without observations.
+func (filter *serviceFilter) resetFiller(n int) {
+	filter.mean[n] = initialWeight
+	for i := range filter.cov {
+		filter.cov[i][n], filter.cov[n][i] = 0, 0
+	}
+	filter.cov[n][n] = weightStdDev * weightStdDev
+}
+
 // Version returns a number that increases with each observation.
 func (m *LatencyModel) Version() int64 { return m.version }
 
@@ -212,15 +242,16 @@
 // fillers again.
 func (m *LatencyModel) Snapshot() *pb.StoredPairs {
 	out := &pb.StoredPairs{}
-	for n, filter := range m.filters {
-		service := &pb.StoredService{Image: m.serviceNames[n], Floor: filter.floor}
-		for f, mean := range filter.mean {
+	m.services.each(func(n int, image string) {
+		filter := m.filters[n]
+		service := &pb.StoredService{Image: image, Floor: filter.floor}
+		m.fillers.each(func(f int, image string) {
 			if filter.cov[f][f] < weightStdDev*weightStdDev {
-				service.Weights = append(service.Weights, &pb.StoredWeight{Filler: m.fillerNames[f], Mean: mean, Variance: filter.cov[f][f]})
+				service.Weights = append(service.Weights, &pb.StoredWeight{Filler: image, Mean: filter.mean[f], Variance: filter.cov[f][f]})
 			}
-		}
+		})
 		out.Services = append(out.Services, service)
-	}
+	})
 	return out
 }
 
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -142,6 +142,7 @@
 	removedQueues   map[string]bool // as logged
 	fenced          bool
 	working         *job // see WorkingOn
+	rolesMade       int  // see forgetImages
 	out             Output
 	disabled        disabledRules
 }
--- a/internal/scheduler/roles.go
+++ b/internal/scheduler/roles.go
@@ -17,6 +17,7 @@
 // roleOf returns the role of a step. It adds its image to the interference model.
 func (c *Core) roleOf(s *step) role {
 	r := role{fills: s.spec.GetFiller()}
+	c.forgetImages(s.round)
 	if r.fills {
 		r.filler = c.model.FillerIndex(s.spec.GetImage())
 	}
@@ -27,6 +28,37 @@
 	return r
 }
 
+// forgetImagesInterval is the number of steps that are opened between two attempts to
+// forget images.
+const forgetImagesInterval = 32
+
+// forgetImages forgets images that no step of an open round has, if the interference model
+// has no index left. A round that is being opened is in no list yet.
+func (c *Core) forgetImages(opening *round) {
+	if c.rolesMade++; !c.model.Full() || c.rolesMade%forgetImagesInterval != 0 {
+		return
+	}
+	services, fillers := make(map[interference.Service]bool), make(map[interference.Filler]bool)
+	mark := func(r *round) {
+		for _, s := range r.steps {
+			services[s.role.service] = services[s.role.service] || s.role.serves
+			fillers[s.role.filler] = fillers[s.role.filler] || s.role.fills
+		}
+	}
+	mark(opening)
+	for _, j := range c.jobs {
+		for _, r := range j.rounds {
+			mark(r)
+		}
+	}
+	for _, w := range c.workerList {
+		for _, p := range w.pastFillers {
+			fillers[p.image] = true
+		}
+	}
+	c.model.Forget(func(s interference.Service) bool { return services[s] }, func(f interference.Filler) bool { return fillers[f] })
+}
+
 func (s *step) filler() bool { return s.role.fills }
 
 // serving reports whether an attempt belongs to a service: a long-running task with
--- a/internal/scheduler/roles_test.go
+++ b/internal/scheduler/roles_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"gooseberryreel/internal/interference"
 	"gooseberryreel/internal/pb"
 )
 
@@ -148,3 +149,33 @@
 		qt.Check(t, sim.core.WorkingOn(), qt.Equals, simJob(2).GetId())
 	}
 }
+
+// Guards against images of ended jobs that keep their places in the interference model, so
+// that it learns nothing about later ones.
+func TestImagesOfEndedJobsAreForgotten(t *testing.T) {
+	c := qt.New(t)
+	sim := newSimulation(1, 4)
+	sim.taskFor = func(r AttemptID) simTask {
+		return simTask{longRunning: imageOf(r) == 1, latencyMS: 8, work: 100 * time.Millisecond}
+	}
+	s := simStepSpec(4, 500)
+	s.Lasting, s.Image, s.LatencyTargetMs = true, "s", 20
+	sim.submit(simJob(1, s))
+	sim.run(time.Second)
+	own := make(map[interference.Filler]bool)
+	for n := range 3 * interference.MaxFillers {
+		f := simStepSpec(1, 500)
+		f.Filler, f.Image = true, fmt.Sprint("f", n)
+		sim.submit(simJob(2+n, f))
+		own[sim.core.jobs[simJob(2+n).GetId()].rounds[0].steps[0].role.filler] = true
+		sim.run(100 * time.Millisecond)
+	}
+	sim.run(2 * time.Second)
+	c.Check(len(own) >= interference.MaxFillers-1, qt.IsTrue)
+	c.Check(sim.core.model.FillerIndex(fmt.Sprint("f", 3*interference.MaxFillers-1)) != sim.core.model.FillerIndex("new"), qt.IsTrue)
+	c.Check(sim.core.jobs[simJob(1).GetId()].rounds[0].steps[0].role.service, qt.Equals, sim.core.model.ServiceIndex("s"))
+	c.Check(sim.violations, qt.HasLen, 0)
+	for n := range 3 * interference.MaxFillers {
+		c.Check(sim.core.State(simJob(2+n).GetId()), qt.Equals, pb.PublicState_PUBLIC_STATE_COMPLETED)
+	}
+}
