scheduler: only a worker itself shows that it has restarted

Cause: a later start time in any readable entry counted as a restart, and its listed attempts as lost. The pool of the entry was not checked.

Change: entries of pools that no configuration names and no job was accepted for are not used. A later start in an entry keeps leases and starts from the worker until its next answer. An answer of another worker proves an end only at the address where the worker has answered.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -140,6 +140,7 @@
 	overcommitNext  int             // worker that the newest search of overcommitTask looked at
 	blockTasks      int             // see defaultBlockTasks
 	removedQueues   map[string]bool // as logged
+	pools           map[string]bool // see knowsPool
 	fenced          bool
 	working         *job // see WorkingOn
 	rolesMade       int  // see forgetImages
@@ -153,7 +154,7 @@
 		opts: o, startedAt: now, jobs: make(map[string]*job), cancelled: make(map[string]cancellation),
 		workers: make(map[string]*worker), model: interference.NewLatencyModel(), durations: make(durations),
 		restoredCrashes: make(map[string]bool), operatorRequests: newOperatorRequests(),
-		blockTasks: defaultBlockTasks,
+		blockTasks: defaultBlockTasks, pools: make(map[string]bool),
 	}
 }
 
@@ -216,6 +217,7 @@
 		j.roundTasks += int(spec.GetTasks())
 	}
 	c.jobs[sub.GetId()] = j
+	c.pools[sub.GetService()] = true
 	if j.roundTasks*j.times() > c.blockTasks {
 		j.blocks = newTaskBlocks(c.blockTasks)
 	}
--- a/internal/scheduler/queues.go
+++ b/internal/scheduler/queues.go
@@ -12,6 +12,9 @@
 // SetConfig replaces the configuration.
 func (c *Core) SetConfig(config *Config) {
 	c.config = config
+	for _, pool := range config.Pools {
+		c.pools[pool] = true
+	}
 	c.planDue = true
 	if c.started {
 		c.logRemovedQueues()
@@ -50,6 +53,12 @@
 	return q
 }
 
+// knowsPool reports whether a configuration names a pool, or a job was accepted for it. An
+// entry of another pool comes from another writer. Without a list of pools any may exist.
+func (c *Core) knowsPool(pool string) bool {
+	return c.config == nil || len(c.config.Pools) == 0 || c.pools[pool]
+}
+
 // logRemovedQueues logs the queues with active jobs that the configuration no longer
 // has, once each.
 func (c *Core) logRemovedQueues() {
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -38,6 +38,8 @@
 type Config struct {
 	Version int64
 	Queues  []Queue
+	// Pools are the names of all pools of workers, empty if they are not known.
+	Pools []string
 	// MaxBodyBytes bounds the body of a caller's request.
 	MaxBodyBytes int64
 }
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -18,7 +18,7 @@
 	incarnation   int64
 	incarnationAt time.Time
 
-	// clockUnknown is set while the worker is known to have restarted and has not
+	// clockUnknown is set while the worker may have restarted, by its entry, and has not
 	// answered a hold since. Leases for it can't be computed.
 	clockUnknown bool
 
@@ -32,6 +32,7 @@
 	// silentNoticed is when the first call without an answer ended.
 	silentNoticed time.Time
 	answeredAt    time.Time // newest answer to a hold
+	answersAt     string    // address of that
 	answers       int64     // to holds
 
 	processed int64 // number of the newest end that the core has handled
@@ -158,6 +159,11 @@
 
 // SetWorker adds or updates the entry of a worker.
 func (c *Core) SetWorker(e WorkerEntry, now time.Time) {
+	if !c.knowsPool(e.Pool) {
+		c.addLogEntry("worker of unknown pool", "", "worker", e.ID, "pool", e.Pool)
+		c.RemoveWorker(e.ID, now)
+		return
+	}
 	w := c.worker(e.ID)
 	defer c.noteCold(w, e.ColdFor, now)
 	if w.listed && w.entry.Address == e.Address && w.entry.Draining == e.Draining && w.entry.Capacity == e.Capacity && w.entry.Incarnation == e.Incarnation {
@@ -170,7 +176,8 @@
 		w.nextHold, w.holdInFlight = now, false
 	}
 	if e.Incarnation > w.incarnation && w.incarnation != 0 {
-		c.newIncarnation(w, e.Incarnation, now)
+		// It may have restarted, or another writer may have written the entry. Only its
+		// own answer shows which.
 		w.clockUnknown = true
 	}
 	leaves := e.Draining && !w.entry.Draining
@@ -247,10 +254,10 @@
 // sendHold sends the next hold to a worker.
 func (c *Core) sendHold(w *worker, now time.Time) {
 	o := Command{Kind: CommandHold, Worker: w.id, Address: w.entry.Address, Domain: w.entry.Zone, Token: c.opts.Epoch, SentAt: now}
-	if w.silentSince.IsZero() || c.disabled.keepCursor {
-		// After a call without an answer the worker may have restarted. It then
-		// numbers its ends from 1 again, and the old cursor would make it discard
-		// ends that the core has not seen.
+	if w.silentSince.IsZero() && !w.clockUnknown || c.disabled.keepCursor {
+		// After a call without an answer, or by its entry, the worker may have
+		// restarted. It then numbers its ends from 1 again, and the old cursor would make
+		// it discard ends that the core has not seen.
 		o.Cursor = w.cursor
 	}
 	silent := !w.silentSince.IsZero() && now.Sub(w.silentSince) > renewWhileSilent
@@ -295,6 +302,7 @@
 		return
 	}
 	w.clock, w.clockAt, w.answeredAt, w.clockUnknown = r.Hold.Clock, now, now, false
+	w.answersAt = r.Command.Address
 	if w.incarnation != r.Hold.Incarnation {
 		c.newIncarnation(w, r.Hold.Incarnation, now)
 	}
@@ -326,11 +334,14 @@
 		return
 	}
 	if r.Refused == RefusedWrongWorker {
-		// Another worker answers at the address, so this one has ended.
 		c.RemoveWorker(w.id, now)
-		c.workerCrashed(w, now)
-		for _, a := range slices.Clone(w.list) {
-			c.loseAttempt(a, lossReplaced, now)
+		if w.answersAt == "" || w.answersAt == r.Command.Address {
+			// Another worker answers where this one did, so this one has ended. At an
+			// address that only an entry names that shows nothing.
+			c.workerCrashed(w, now)
+			for _, a := range slices.Clone(w.list) {
+				c.loseAttempt(a, lossReplaced, now)
+			}
 		}
 	}
 	if w.silentSince.IsZero() {
