scheduler: the count of limited starts is stored

Callers saw: a job whose task had three crashes of workers against it by chance failed after a takeover although none of its later starts had run (LOST).

Cause: the new owner counted each recorded start since, also those that were refused or never sent, as the count was not stored.

Change: the count is stored once starts are limited, without those of attempts that are still listed, which the new owner counts itself.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -81,6 +81,7 @@
 	checkpoint := s.checkpointFor(a.task)
 	a.durationUsable = checkpoint == ""
 	a.task.limitedStarts++
+	a.limited = true
 	c.out.Commands = append(c.out.Commands, Command{
 		Kind: CommandStart, Worker: w.id, Address: w.entry.Address, Domain: w.entry.Zone, Token: c.opts.Epoch, AttemptID: a.attemptID, Lease: lease,
 		Payload: a.job().sub.GetPayload(), Checkpoint: checkpoint, Ticket: s.ticketFor(w), SentAt: now,
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -238,8 +238,8 @@
 
 // restoreCrashes restores the evidence that an earlier owner has recorded. The rate of
 // crashes includes each worker in it once.
-func (c *Core) restoreCrashes(t *task, stored []*pb.StoredCrash, now time.Time) {
-	for _, cr := range stored {
+func (c *Core) restoreCrashes(t *task, stored *pb.StoredTask, now time.Time) {
+	for _, cr := range stored.GetCrashes() {
 		if !c.restoredCrashes[cr.GetAddress()] {
 			c.restoredCrashes[cr.GetAddress()] = true
 			c.crashTimes = append(c.crashTimes, now)
@@ -248,8 +248,11 @@
 			attempt: int(cr.GetRun()), address: cr.GetAddress(), age: time.Duration(cr.GetAgeMs()) * time.Millisecond, alone: cr.GetAlone(),
 		})
 	}
-	if len(t.crashes) >= limitedCrashes {
-		// The earlier owner may have sent all starts that it has recorded.
+	switch {
+	case stored.LimitedStarts != nil:
+		t.limitedStarts = int(stored.GetLimitedStarts())
+	case len(t.crashes) >= limitedCrashes:
+		// An earlier version may have sent all starts that it has recorded.
 		t.limitedStarts = t.lastAttempt - t.crashes[limitedCrashes-1].attempt
 	}
 }
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -123,6 +123,7 @@
 	placedAt       time.Time
 	incarnation    int64     // of the worker when the attempt was placed, zero if unknown
 	sentAt         time.Time // when the start was sent
+	limited        bool      // its start counts in limitedStarts
 	// startLease is the lease that the start carries, zero if it is not known or if the
 	// worker has restarted since, with another clock.
 	startLease  time.Duration
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -69,6 +69,15 @@
 	if !t.done {
 		out.Checkpoint = t.checkpoint
 	}
+	if len(t.crashes) >= limitedCrashes {
+		ended := t.limitedStarts
+		for _, a := range t.attempts {
+			if a.limited {
+				ended--
+			}
+		}
+		out.LimitedStarts = proto.Int32(int32(max(ended, 0)))
+	}
 	for _, number := range t.failedRuns {
 		out.FailedRuns = append(out.FailedRuns, int32(number))
 	}
@@ -226,7 +235,7 @@
 		t.failedRuns = append(t.failedRuns, int(number))
 	}
 	if !c.disabled.forgetCrashes {
-		c.restoreCrashes(t, stored.GetCrashes(), now)
+		c.restoreCrashes(t, stored, now)
 	}
 	if stored.GetDone() {
 		t.done = true
@@ -239,6 +248,10 @@
 		restored := c.addAttempt(t, w, int(a.GetRun()), now)
 		restored.recorded, restored.restored, restored.placedAt = true, true, time.UnixMilli(a.GetPlacedMs())
 		restored.incarnation = a.GetIncarnation()
+		if stored.LimitedStarts != nil {
+			t.limitedStarts++
+			restored.limited = true
+		}
 		if t.step.filler() {
 			w.fillersSince = time.Time{} // unknown
 		}
