scheduler: jobs of a removed queue continue in its last pool

Cause: the pool of a removed queue was that of the submission, whose workers had left.

Change: the pool of the newest configuration with the queue is noted and stored with the job.

TestJobsOfMovedQueueContinue fails with the pool of the submission.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -198,6 +198,7 @@
 	}
 	j := c.addJob(sub, now)
 	c.working = j
+	c.followQueue(j)
 	c.openDueRounds(j, now)
 	c.addLogEntry("job accepted", sub.GetRequestId(), "job", sub.GetId(), "queue", sub.GetQueue(), "steps", len(sub.GetSteps()), "priority", sub.GetPriority())
 	if _, cancelled := c.cancelled[sub.GetId()]; cancelled {
@@ -218,6 +219,7 @@
 	}
 	c.jobs[sub.GetId()] = j
 	c.pools[sub.GetService()] = true
+	j.pool = sub.GetService()
 	if j.roundTasks*j.times() > c.blockTasks {
 		j.blocks = newTaskBlocks(c.blockTasks)
 	}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -29,6 +29,7 @@
 	// record.
 	visible  pb.PublicState
 	changed  bool        // has changes that are in no batch yet
+	pool     string      // of its queue in the newest configuration that had it
 	accepted *Queue      // the policy of the queue when the job was accepted, see queue
 	blocks   *taskBlocks // nil if the tasks are recorded with the job
 	setAside bool        // see Core.SetAside
--- a/internal/scheduler/queues.go
+++ b/internal/scheduler/queues.go
@@ -15,6 +15,9 @@
 	for _, pool := range config.Pools {
 		c.pools[pool] = true
 	}
+	for _, j := range c.jobs {
+		c.followQueue(j)
+	}
 	c.planDue = true
 	if c.started {
 		c.logRemovedQueues()
@@ -37,11 +40,23 @@
 	return j.accepted
 }
 
+// followQueue notes the pool of a job's queue, in which the job continues if the queue is
+// removed: the workers of the pool under which it was accepted may have left.
+func (c *Core) followQueue(j *job) {
+	if c.config == nil || !j.active() {
+		return
+	}
+	if q := c.config.Queue(j.sub.GetQueue()); q != nil && q.Pool != j.pool {
+		j.pool, j.accepted = q.Pool, nil
+		c.markChanged(j)
+	}
+}
+
 // acceptedQueue returns the policy that was stored with a job.
 func acceptedQueue(j *job) *Queue {
 	s := j.sub
 	q := &Queue{
-		Name: s.GetQueue(), Pool: s.GetService(), Priority: int(s.GetPriority()), MaxAttempts: int(s.GetMaxAttempts()),
+		Name: s.GetQueue(), Pool: j.pool, Priority: int(s.GetPriority()), MaxAttempts: int(s.GetMaxAttempts()),
 		Stretch: s.GetStretch(), Allowance: time.Duration(s.GetTargetMs()) * time.Millisecond,
 	}
 	if s.GetNeedsTicket() {
--- a/internal/scheduler/queues_test.go
+++ b/internal/scheduler/queues_test.go
@@ -68,3 +68,48 @@
 	}
 	c.Check(lines, qt.Equals, 2)
 }
+
+// Guards against jobs that never continue since their queue was moved to another pool and
+// then removed, and the workers of the first pool have left.
+func TestJobsOfMovedQueueContinue(t *testing.T) {
+	for _, takeOver := range []bool{false, true} {
+		t.Run(fmt.Sprint("takeover ", takeOver), func(t *testing.T) {
+			c := qt.New(t)
+			sim := newSimulation(1, 4)
+			sim.taskFor = func(AttemptID) simTask { return simTask{work: time.Second} }
+			scheduled := simScheduledJob(sim, 2, 2, 4*time.Second, time.Second, simStepSpec(1, 500))
+			sim.submit(simJob(1, simStepSpec(2, 500), simStepSpec(2, 500, 0)))
+			sim.submit(scheduled)
+			sim.run(500 * time.Millisecond)
+			for version, queues := range [][]Queue{{{Name: "q", Pool: "new", MaxAttempts: 3, Stretch: 2}}, {{Name: "other", Pool: "new"}}} {
+				changed := *sim.config
+				changed.Version, changed.Queues = int64(2+version), queues
+				sim.config = &changed
+				sim.core.SetConfig(sim.config)
+				for n, sw := range sim.workers {
+					entry := sw.entry()
+					if entry.Pool = "new"; n < 2 {
+						entry.Pool, entry.Draining = "s", true
+					}
+					sim.core.SetWorker(entry, sim.now)
+				}
+				sim.run(300 * time.Millisecond)
+				if takeOver {
+					sim.takeOver()
+					for n, sw := range sim.workers {
+						entry := sw.entry()
+						if entry.Pool = "new"; n < 2 {
+							entry.Pool, entry.Draining = "s", true
+						}
+						sim.core.SetWorker(entry, sim.now)
+					}
+				}
+			}
+			sim.run(15 * time.Second)
+			for id := 1; id <= 2; id++ {
+				c.Check(sim.core.State(fmt.Sprintf("%016x", id)), qt.Equals, pb.PublicState_PUBLIC_STATE_COMPLETED, qt.Commentf("job %d", id))
+			}
+			c.Check(sim.violations, qt.HasLen, 0)
+		})
+	}
+}
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -23,6 +23,9 @@
 		}
 	}
 	r.NextRound = int32(j.nextRound)
+	if j.pool != j.sub.GetService() {
+		r.Pool = j.pool
+	}
 	if j.blocks != nil {
 		r.Split = true
 		for _, round := range j.rounds {
@@ -110,6 +113,9 @@
 	}
 	stored := record.State
 	j.phase, j.begun = stored.GetPhase(), stored.GetBegun()
+	if stored.GetPool() != "" {
+		j.pool, c.pools[stored.GetPool()] = stored.GetPool(), true
+	}
 	if !j.active() {
 		c.restoreEnd(j, stored, now)
 	}
