scheduler: recorded starts are checked against label and pool again

The workers had come back as another kind while the starts waited to be recorded.

Cause: a recorded start was checked against the worker's room only.

Change: it is withheld if the worker lacks the label or belongs to another pool.

TestStartsAreWithheldFromOtherKinds fails without the check.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -67,7 +67,7 @@
 		return
 	}
 	a.recorded = true
-	if a.stopReason != "" || !a.job().active() || !c.mayStartOn(w, now) {
+	if a.stopReason != "" || !a.job().active() || !c.mayStartOn(w, now) || !c.suits(a.step(), w) {
 		c.withhold(a, now)
 		return
 	}
@@ -93,6 +93,14 @@
 	return w.usable(now) && !c.evacuated(w) && w.used.FitsIn(w.entry.Capacity) && c.entriesCurrent(now) && c.requestsCurrent(now)
 }
 
+// suits reports whether a worker has the label that a step requires and belongs to the pool
+// of its queue. It may have come back as another kind since a task was placed there.
+func (c *Core) suits(s *step, w *worker) bool {
+	label := s.spec.GetRequiredLabel()
+	q := c.queue(s.round.job)
+	return (label == "" || slices.Contains(w.entry.Labels, label)) && q != nil && q.Pool == w.entry.Pool
+}
+
 // checkpointFor returns the checkpoint from which a task starts. All tasks of a
 // gang start from the same one.
 func (s *step) checkpointFor(t *task) string {
--- a/internal/scheduler/odd_entries_test.go
+++ b/internal/scheduler/odd_entries_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"gooseberryreel/internal/pb"
 )
 
 // Guards against tasks that start again while they run, since an entry of another writer
@@ -48,3 +50,38 @@
 		}
 	}
 }
+
+// Guards against starts on a worker that has come back as another kind, or in another pool,
+// while they waited to be recorded.
+func TestStartsAreWithheldFromOtherKinds(t *testing.T) {
+	for name, change := range map[string]func(e *WorkerEntry){
+		"label": func(e *WorkerEntry) { e.Labels = []string{"b", "r9"} },
+		"pool":  func(e *WorkerEntry) { e.Pool = "another" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			sim := newSimulation(1, 2)
+			sim.run(500 * time.Millisecond)
+			s := simStepSpec(4, 500)
+			s.RequiredLabel = "a"
+			sim.submit(simJob(1, s))
+			sim.core.Tick(sim.now)
+			b := sim.core.TakeBatch(sim.now)
+			for _, sw := range sim.workers {
+				entry := sw.entry()
+				change(&entry)
+				sim.core.SetWorker(entry, sim.now)
+			}
+			sim.core.TakeOutput()
+			sim.core.Committed(b, sim.now)
+			for _, command := range sim.core.TakeOutput().Commands {
+				c.Check(command.Kind, qt.Not(qt.Equals), CommandStart)
+			}
+			for _, sw := range sim.workers {
+				sim.core.SetWorker(sw.entry(), sim.now)
+			}
+			sim.run(3 * time.Second)
+			c.Check(sim.core.State(simJob(1).GetId()), qt.Equals, pb.PublicState_PUBLIC_STATE_COMPLETED)
+		})
+	}
+}
