scheduler: a gang is withheld as a whole

Cause: the start of a member whose worker was quarantined between placement and record was withheld, and those of the other members were sent.

Change: no member is started if one of them may not be.

TestGangIsWithheldAsAWhole fails without the check.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -67,7 +67,7 @@
 		return
 	}
 	a.recorded = true
-	if a.stopReason != "" || !a.job().active() || !c.mayStartOn(w, now) || !c.suits(a.step(), w) {
+	if !c.maySend(a, now) {
 		c.withhold(a, now)
 		return
 	}
@@ -88,6 +88,11 @@
 	})
 }
 
+// maySend reports whether the start of a placed attempt may still be sent.
+func (c *Core) maySend(a *attempt, now time.Time) bool {
+	return a.stopReason == "" && a.job().active() && c.mayStartOn(a.worker, now) && c.suits(a.step(), a.worker)
+}
+
 // mayStartOn reports whether the start of a placed attempt may be sent to a worker.
 func (c *Core) mayStartOn(w *worker, now time.Time) bool {
 	return w.usable(now) && !c.evacuated(w) && w.used.FitsIn(w.entry.Capacity) && c.entriesCurrent(now) && c.requestsCurrent(now)
--- a/internal/scheduler/batch.go
+++ b/internal/scheduler/batch.go
@@ -78,6 +78,7 @@
 			c.addLogEntry("job "+stateName(v.state), v.job.sub.GetRequestId(), "job", v.job.sub.GetId(), "age_ms", now.Sub(v.job.received).Milliseconds(), "starts", v.job.starts.String())
 		}
 	}
+	c.withholdIncompleteGangs(b.starts, now)
 	for _, a := range b.starts {
 		c.sendStart(a, now)
 	}
--- a/internal/scheduler/gang_takeover_test.go
+++ b/internal/scheduler/gang_takeover_test.go
@@ -91,3 +91,27 @@
 		})
 	}
 }
+
+// Guards against members of a gang that are started although others are withheld, since a
+// worker was quarantined after the gang was placed: they would end alone.
+func TestGangIsWithheldAsAWhole(t *testing.T) {
+	c := qt.New(t)
+	sim := newSimulation(1, 4)
+	sim.run(500 * time.Millisecond)
+	s := simStepSpec(4, 2000)
+	s.Gang, s.Spread = true, 1
+	sim.submit(simJob(1, s))
+	sim.core.Tick(sim.now)
+	b := sim.core.TakeBatch(sim.now)
+	c.Assert(b.starts, qt.HasLen, 4)
+	sim.core.workers[sim.workers[2].id].health.quarantine(sim.now)
+	sim.core.TakeOutput()
+	sim.core.Committed(b, sim.now)
+	for _, command := range sim.core.TakeOutput().Commands {
+		c.Check(command.Kind, qt.Not(qt.Equals), CommandStart)
+	}
+	c.Check(sim.core.jobs[simJob(1).GetId()].attempts, qt.Equals, 0)
+	sim.run(5 * time.Second)
+	c.Check(sim.core.State(simJob(1).GetId()), qt.Equals, pb.PublicState_PUBLIC_STATE_COMPLETED)
+	c.Check(sim.violations, qt.HasLen, 0)
+}
--- a/internal/scheduler/starts.go
+++ b/internal/scheduler/starts.go
@@ -29,6 +29,22 @@
 	c.endAttempt(a, EndStopped, "", now)
 }
 
+// withholdIncompleteGangs lets no member of a gang be started if another one may not be: the
+// others would wait for it in vain.
+func (c *Core) withholdIncompleteGangs(starts []*attempt, now time.Time) {
+	incomplete := make(map[*step]bool)
+	for _, a := range starts {
+		if s := a.step(); s.spec.GetGang() && a.worker.attempts[a.attemptID] == a && !c.maySend(a, now) {
+			incomplete[s] = true
+		}
+	}
+	for _, a := range starts {
+		if incomplete[a.step()] && a.stopReason == "" {
+			a.stopReason = "another member of the gang may not start"
+		}
+	}
+}
+
 // noteBegun notes that a worker has run one of a job's tasks. j is nil if the job is not
 // known.
 func (c *Core) noteBegun(j *job) {
