scheduler: a cancelled id without a submission is unknown

Cause: a cancellation that arrives before its submission was shown as that of a job.

Change: the id is unknown until its submission is read, which is then cancelled.

TestCancelledIdWithoutSubmission failed before.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -238,14 +238,12 @@
 	}
 }
 
-// State returns the state of a job as of its newest confirmed record.
+// State returns the state of a job as of its newest confirmed record. An id that was
+// cancelled and not submitted, so far, is that of no job.
 func (c *Core) State(id string) pb.PublicState {
 	if j := c.jobs[id]; j != nil {
 		return j.visible
 	}
-	if _, cancelled := c.cancelled[id]; cancelled {
-		return pb.PublicState_PUBLIC_STATE_CANCELLED
-	}
 	return pb.PublicState_PUBLIC_STATE_UNKNOWN
 }
 
--- a/internal/scheduler/queues_test.go
+++ b/internal/scheduler/queues_test.go
@@ -113,3 +113,20 @@
 		})
 	}
 }
+
+// Guards against an id that was cancelled and that nobody has submitted, shown as that of a
+// job, and against a submission that arrives after its cancellation and runs.
+func TestCancelledIdWithoutSubmission(t *testing.T) {
+	c := qt.New(t)
+	sim := newSimulation(1, 2)
+	sub := simJob(1, simStepSpec(1, 500))
+	sim.cancel(sub.GetId())
+	for range 2 {
+		c.Check(sim.core.State(sub.GetId()), qt.Equals, pb.PublicState_PUBLIC_STATE_UNKNOWN)
+		sim.takeOver()
+	}
+	sim.submit(sub)
+	sim.run(time.Second)
+	c.Check(sim.core.State(sub.GetId()), qt.Equals, pb.PublicState_PUBLIC_STATE_CANCELLED)
+	c.Check(sim.starts, qt.Equals, 0)
+}
