scheduler: the number of attempts that may be active is limited

Found while going through its related paths; no run on processes showed it.

Change: at most 60,000 attempts are active, 2,000 on a worker; further tasks wait.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -13,6 +13,10 @@
 	// startTimeout is how long a start may stay without an answer before its
 	// attempt is stopped. It is longer than the timeout of the call.
 	startTimeout = 2 * time.Second
+	// maxAttempts and maxWorkerAttempts limit the attempts that may be active, each of which
+	// takes about 1 kB of the owner, in all and on one worker. Further tasks wait.
+	maxAttempts       = 60_000
+	maxWorkerAttempts = 2_000
 	// attemptCheckInterval is the shortest time between two checks of the attempts of a
 	// worker.
 	attemptCheckInterval = 50 * time.Millisecond
@@ -35,6 +39,7 @@
 	t.attempts = append(t.attempts, a)
 	t.step.round.job.attempts++
 	t.step.round.attempts++
+	c.attempts++
 	t.lastAttempt = max(t.lastAttempt, number)
 	t.step.openMore()
 	w.add(a)
@@ -359,6 +364,7 @@
 	t.attempts = slices.DeleteFunc(t.attempts, func(o *attempt) bool { return o == a })
 	j.attempts--
 	t.step.round.attempts--
+	c.attempts--
 	defer t.closeIfOver()
 	j.lastEnd, t.endedAt, t.waitedBefore = now, now, 0
 	if !a.overcommitted {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -144,6 +144,7 @@
 	fenced          bool
 	working         *job // see WorkingOn
 	rolesMade       int  // see forgetImages
+	attempts        int  // that may be active
 	out             Output
 	disabled        disabledRules
 }
--- a/internal/scheduler/feasibility.go
+++ b/internal/scheduler/feasibility.go
@@ -170,7 +170,7 @@
 		request.CPUMilli = 0
 	}
 	switch {
-	case !request.FitsIn(cand.free):
+	case !request.FitsIn(cand.free) || len(cand.worker.list) >= maxWorkerAttempts || cand.core.attempts >= maxAttempts:
 		return refusedRoom
 	case !cand.allows(t, q, now):
 		return refusedLabel
--- a/internal/scheduler/rounds_test.go
+++ b/internal/scheduler/rounds_test.go
@@ -145,3 +145,36 @@
 		})
 	}
 }
+
+// Guards against an owner that exceeds its memory since small tasks run in any number.
+func TestRunningTasksTakeBoundedMemory(t *testing.T) {
+	c := qt.New(t)
+	sim := newSimulation(1, 40)
+	sim.unchecked, sim.trace = true, nil
+	sim.taskFor = func(AttemptID) simTask { return simTask{longRunning: true} }
+	for _, sw := range sim.workers {
+		sw.capacity = Resources{32_000, 128_000, 0}
+		sim.core.SetWorker(sw.entry(), sim.now)
+	}
+	sim.run(500 * time.Millisecond)
+	before := heapInUse()
+	small := simStepSpec(10_000, 1)
+	small.MemoryMib, small.Lasting = 1, true
+	for n := range 3 {
+		sim.submit(simJob(n, small, small, small, small))
+	}
+	for range 40 {
+		sim.core.Pass(sim.now)
+		sim.now = sim.now.Add(20 * time.Millisecond)
+	}
+	attempts := 0
+	for _, w := range sim.core.workerList {
+		attempts += len(w.list)
+		c.Check(len(w.list) <= maxWorkerAttempts, qt.IsTrue)
+	}
+	c.Check(attempts > maxAttempts/2 && attempts <= maxAttempts, qt.IsTrue, qt.Commentf("%d attempts", attempts))
+	taken := heapInUse() - before
+	runtime.KeepAlive(sim)
+	t.Logf("%d attempts, %d MB", attempts, taken>>20)
+	c.Check(taken < 284<<20/3, qt.IsTrue, qt.Commentf("%d MB", taken>>20))
+}
