scheduler: a hold that never left renews no lease

Cause: such a worker refuses connections, and each refused hold of the next 1.5 s counted as one that may have renewed the lease.

Change: the grant of a hold that had no connection is taken back, unless a start has granted since.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -79,7 +79,7 @@
 	a.sentAt, a.progressAt, w.newestStart = now, now, now
 	lease := w.clockNow(now) + c.opts.startLease()
 	c.grant(w, lease, now)
-	a.startLease = lease
+	a.startLease, w.startGrantedAt = lease, now
 	w.commandsInFlight++
 	a.job().starts.sent++
 	s := a.step()
--- a/internal/scheduler/queues_test.go
+++ b/internal/scheduler/queues_test.go
@@ -81,11 +81,7 @@
 			sim.submit(simJob(1, simStepSpec(2, 500), simStepSpec(2, 500, 0)))
 			sim.submit(scheduled)
 			sim.run(500 * time.Millisecond)
-			for version, queues := range [][]Queue{{{Name: "q", Pool: "new", MaxAttempts: 3, Stretch: 2}}, {{Name: "other", Pool: "new"}}} {
-				changed := *sim.config
-				changed.Version, changed.Queues = int64(2+version), queues
-				sim.config = &changed
-				sim.core.SetConfig(sim.config)
+			register := func() { // two workers leave the old pool, the others belong to the new one
 				for n, sw := range sim.workers {
 					entry := sw.entry()
 					if entry.Pool = "new"; n < 2 {
@@ -93,16 +89,17 @@
 					}
 					sim.core.SetWorker(entry, sim.now)
 				}
+			}
+			for version, queues := range [][]Queue{{{Name: "q", Pool: "new", MaxAttempts: 3, Stretch: 2}}, {{Name: "other", Pool: "new"}}} {
+				changed := *sim.config
+				changed.Version, changed.Queues = int64(2+version), queues
+				sim.config = &changed
+				sim.core.SetConfig(sim.config)
+				register()
 				sim.run(300 * time.Millisecond)
 				if takeOver {
 					sim.takeOver()
-					for n, sw := range sim.workers {
-						entry := sw.entry()
-						if entry.Pool = "new"; n < 2 {
-							entry.Pool, entry.Draining = "s", true
-						}
-						sim.core.SetWorker(entry, sim.now)
-					}
+					register()
 				}
 			}
 			sim.run(15 * time.Second)
--- a/internal/scheduler/rounds_test.go
+++ b/internal/scheduler/rounds_test.go
@@ -11,6 +11,13 @@
 	"gooseberryreel/internal/pb"
 )
 
+// firstTask returns the first open task of a job's first open round.
+func (sim *simulation) firstTask(id string) *task {
+	s := sim.core.jobs[id].rounds[0].steps[0]
+	s.openMore()
+	return s.tasks[0]
+}
+
 // Guards against an owner that exceeds its memory, and whose successors do as well, since
 // accepted work takes memory for tasks that are not due, wait for other steps or have no
 // room.
--- a/internal/scheduler/simulated_worker_test.go
+++ b/internal/scheduler/simulated_worker_test.go
@@ -11,7 +11,7 @@
 	sw.advance()
 	result := CommandResult{Command: o, Clock: sw.clock()}
 	if sw.sim.now.Before(sw.downUntil) {
-		result.Err = fmt.Errorf("connection refused")
+		result.Err, result.NotSent = fmt.Errorf("connection refused"), true
 		answer(result)
 		return
 	}
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -247,13 +247,6 @@
 	sim.core.Submit(sub, sim.now)
 }
 
-// firstTask returns the first open task of a job's first open round.
-func (sim *simulation) firstTask(id string) *task {
-	s := sim.core.jobs[id].rounds[0].steps[0]
-	s.openMore()
-	return s.tasks[0]
-}
-
 func (sim *simulation) cancel(id string) {
 	sim.cancels = append(sim.cancels, id)
 	sim.core.Cancel(id, sim.now)
@@ -338,7 +331,7 @@
 		return
 	}
 	if sim.now.Before(target.downUntil) {
-		answer(CommandResult{Command: o, Err: fmt.Errorf("connection refused")})
+		answer(CommandResult{Command: o, Err: fmt.Errorf("connection refused"), NotSent: true})
 		return
 	}
 	x, fault := sim.rng.Float64(), noFault
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 
 	"gooseberryreel/internal/pb"
 )
@@ -95,3 +96,34 @@
 	c.Check(starts, qt.Equals, 1)
 	c.Check(sim.violations, qt.HasLen, 0)
 }
+
+// Guards against a lost worker that is waited for longer than a lease, since each hold that
+// it refuses counts as one that may have renewed the lease.
+func TestRefusedHoldsRenewNothing(t *testing.T) {
+	c := qt.New(t)
+	sim := newSimulation(1, 2)
+	sim.taskFor = func(AttemptID) simTask { return simTask{longRunning: true} }
+	s := simStepSpec(1, 1000)
+	s.Lasting = true
+	sim.submit(simJob(1, s))
+	sim.run(5 * time.Second)
+	attempts, on := sim.longRunningAttempts()
+	c.Assert(attempts, qt.HasLen, 1)
+	lost, sw := sim.now, on[0]
+	sw.downUntil = lost.Add(time.Minute)
+	delete(sw.active, attempts[0].attemptID)
+	sim.attemptEnded(attempts[0].attemptID, sw.id, EndUnknown)
+	if h := sw.pendingHold; h != nil {
+		sw.pendingHold = nil
+		sim.after(simStep, func() {
+			sim.core.CommandDone(CommandResult{Command: h.command, Err: errors.New("connection reset")}, sim.now)
+		})
+	}
+	for sim.starts < 2 && sim.now.Sub(lost) < 20*time.Second {
+		sim.step()
+	}
+	took := sim.now.Sub(lost)
+	t.Logf("runs again after %v", took)
+	c.Check(took < 6500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", took))
+	c.Check(sim.violations, qt.HasLen, 0)
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -27,8 +27,12 @@
 
 	// leaseEnd is when, at the latest, everything that this owner or an earlier
 	// one started there has expired if no further renewal reaches it.
-	leaseEnd    time.Time
-	silentSince time.Time // zero while the worker answers
+	leaseEnd time.Time
+	// holdGrant is by what the newest hold has extended leaseEnd, and startGrantedAt when a
+	// start last did.
+	holdGrant      leaseChange
+	startGrantedAt time.Time
+	silentSince    time.Time // zero while the worker answers
 	// silentNoticed is when the first call without an answer ended.
 	silentNoticed time.Time
 	answeredAt    time.Time // newest answer to a hold
@@ -78,6 +82,9 @@
 	commandsInFlight int // without holds
 }
 
+// leaseChange is a change of a worker's leaseEnd.
+type leaseChange struct{ before, after time.Time }
+
 func (w *worker) add(a *attempt) {
 	w.attempts[a.attemptID] = a
 	w.list = append(w.list, a)
@@ -274,7 +281,9 @@
 		}
 		if len(w.attempts) > 0 {
 			o.Lease = w.clockNow(now) + c.opts.Lease
+			w.holdGrant.before = w.leaseEnd
 			c.grant(w, o.Lease, now)
+			w.holdGrant.after = w.leaseEnd
 		}
 	}
 	w.holdInFlight = true
@@ -344,6 +353,9 @@
 			}
 		}
 	}
+	if r.NotSent {
+		w.takeBackGrant(r.Command)
+	}
 	if w.silentSince.IsZero() {
 		w.silentSince, w.silentNoticed = r.Command.SentAt, now
 		if !w.answeredAt.IsZero() && w.answeredAt.After(w.silentSince) {
@@ -354,6 +366,14 @@
 	w.nextHold = now.Add(holdRetry)
 }
 
+// takeBackGrant takes back the lease of a hold that never left, so that a worker which
+// refuses connections is not waited for as if it might run on.
+func (w *worker) takeBackGrant(hold Command) {
+	if hold.Lease > 0 && w.leaseEnd.Equal(w.holdGrant.after) && w.startGrantedAt.Before(hold.SentAt) {
+		w.leaseEnd = w.holdGrant.before
+	}
+}
+
 // newIncarnation handles the restart of a worker: the attempts that it had listed
 // are lost.
 func (c *Core) newIncarnation(w *worker, incarnation int64, now time.Time) {
