--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -162,6 +162,10 @@
 	// workCtx outlives ctx: callers are served until the shutdown is complete.
 	workCtx, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
+	// termCtx ends between the two: an owner keeps the ownership for a while.
+	termCtx, endTerm := context.WithCancel(context.Background())
+	defer endTerm()
+	electionOver := make(chan struct{})
 	group, workCtx := errgroup.WithContext(workCtx)
 	api := i.newServer(platform.NewHandler(i))
 	ready := i.newServer(http.HandlerFunc(i.serveReady))
@@ -188,14 +192,14 @@
 	group.Go(func() error { i.intake.run(workCtx); return nil })
 	group.Go(func() error { i.watchConfig(workCtx); return nil })
 	group.Go(func() error { i.fetchConfig(workCtx); return nil })
-	group.Go(func() error { i.runElection(ctx, workCtx); return nil })
+	group.Go(func() error { defer close(electionOver); i.runElection(ctx, termCtx, workCtx); return nil })
 	group.Go(func() error { i.relayForOwners(ctx, workCtx); return nil })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
 		case <-workCtx.Done():
 		}
-		i.shutdown(api)
+		i.shutdown(api, endTerm, electionOver)
 		stopWork()
 		_ = ready.Close()
 		_ = metricsServer.Close()
--- a/internal/daemon/election.go
+++ b/internal/daemon/election.go
@@ -82,20 +82,20 @@
 }
 
 // runElection keeps the instance registered as a candidate and claims the
-// ownership when it is this instance's turn, until stopCtx ends. workCtx outlives
-// stopCtx.
-func (i *Instance) runElection(stopCtx, workCtx context.Context) {
+// ownership when it is this instance's turn, until stopCtx ends. A claim or a term then
+// continues until termCtx ends. workCtx outlives both.
+func (i *Instance) runElection(stopCtx, termCtx, workCtx context.Context) {
 	self := leader.Candidate{Instance: i.settings.GetInstance(), Address: i.peerAddress(), CPUMilli: i.cpuMilli()}
 	times := leader.Settings{UnownedDelay: claimUnownedDelay, StaggerDelay: claimStaggerDelay, SettleTime: claimSettleTime, UnlistedDelay: claimUnlistedDelay, SmallMachineDelay: claimSmallMachineDelay, YieldDelay: yieldDelay}
 	memberName := member{Instance: self.Instance, Address: self.Address, CPUMilli: self.CPUMilli}.name()
 	var listed sync.WaitGroup
 	listed.Go(func() { i.keepRegistered(stopCtx, workCtx, memberName) })
-	i.runCandidate(stopCtx, workCtx, self, times)
+	i.runCandidate(stopCtx, termCtx, workCtx, self, times)
 	listed.Wait() // not deferred: a panic must end the process
 }
 
 // runCandidate claims the ownership when it is this instance's turn, until stopCtx ends.
-func (i *Instance) runCandidate(stopCtx, workCtx context.Context, self leader.Candidate, times leader.Settings) {
+func (i *Instance) runCandidate(stopCtx, termCtx, workCtx context.Context, self leader.Candidate, times leader.Settings) {
 	elector := leader.New(self, times)
 	for stopCtx.Err() == nil {
 		i.pollOwner(stopCtx, elector)
@@ -106,7 +106,7 @@
 		if i.config.Load() != nil && elector.ClaimDue(time.Now()) {
 			candidates, err := i.candidates(stopCtx)
 			if err == nil && elector.ShouldClaim(candidates, time.Now()) {
-				i.claim(stopCtx, workCtx, leader.New(self, times))
+				i.claim(termCtx, workCtx, leader.New(self, times))
 				elector.RestartWait(time.Now())
 				continue
 			}
@@ -213,21 +213,21 @@
 }
 
 // claim claims the ownership and, if that succeeds, runs as the owner until the
-// ownership is lost.
-func (i *Instance) claim(stopCtx, workCtx context.Context, elector *leader.Elector) {
+// ownership is lost or termCtx ends.
+func (i *Instance) claim(termCtx, workCtx context.Context, elector *leader.Elector) {
 	start := time.Now()
 	// The membership without an epoch announces to the other candidates that a claim
 	// is in progress, so that they don't claim as well.
 	intent := member{Instance: i.settings.GetInstance(), Address: i.peerAddress(), CPUMilli: i.cpuMilli()}
-	if err := i.store.Join(stopCtx, ownerGroup, intent.name(), i.ownerTTL()); err != nil {
+	if err := i.store.Join(termCtx, ownerGroup, intent.name(), i.ownerTTL()); err != nil {
 		i.log.WithField("event", "claim failed").WithError(err).Warn("membership")
 		return
 	}
-	state, err := i.readAndClaim(stopCtx)
+	state, err := i.readAndClaim(termCtx)
 	owner := intent
 	owner.Epoch = state.epoch()
 	if err == nil {
-		if err := i.store.Join(stopCtx, ownerGroup, owner.name(), i.ownerTTL()); err != nil {
+		if err := i.store.Join(termCtx, ownerGroup, owner.name(), i.ownerTTL()); err != nil {
 			i.log.WithField("event", "owner listing failed").WithError(err).Warn("membership")
 		}
 	}
@@ -243,7 +243,7 @@
 	i.log.WithField("event", "claim won").WithField("epoch", state.owner.GetEpoch()).
 		WithField("took_ms", time.Since(start).Milliseconds()).Info("membership")
 	i.setOwner(state.owner)
-	i.runTerm(stopCtx, workCtx, state, owner.name(), elector)
+	i.runTerm(termCtx, workCtx, state, owner.name(), elector)
 }
 
 // ownerTTL returns the constant ownerTTL, or the shortest time to live that the
--- a/internal/daemon/owner_term.go
+++ b/internal/daemon/owner_term.go
@@ -113,8 +113,8 @@
 	return bootTime() - i.notOwnerSince
 }
 
-// runTerm runs a term until the ownership is lost or stopCtx ends.
-func (i *Instance) runTerm(stopCtx, workCtx context.Context, s *storedState, memberName string, elector *leader.Elector) {
+// runTerm runs a term until the ownership is lost or termCtx ends.
+func (i *Instance) runTerm(termCtx, workCtx context.Context, s *storedState, memberName string, elector *leader.Elector) {
 	ctx, cancel := context.WithCancel(workCtx)
 	defer cancel()
 	o := &ownerTerm{
@@ -158,7 +158,7 @@
 	run(o.watchLoop)
 	go func() {
 		select {
-		case <-stopCtx.Done():
+		case <-termCtx.Done():
 			o.endTerm("the instance is shutting down")
 		case <-ctx.Done():
 		}
