daemon: an owner that has granted no lease is not waited for

Cause: leases were counted from the end of the term of 0.1 s, in which no worker could have been granted one.

Change: a claim says that its owner is idle, and the first batch of a term stores that it isn't. Until that is stored the owner grants no lease and sends no start.

Measured: TestIdleOwnersAreNotWaitedFor; the tests of takeovers pass with the race detector.

--- a/internal/daemon/commit.go
+++ b/internal/daemon/commit.go
@@ -41,6 +41,9 @@
 	}
 	o.post(workCommitted, func(c *scheduler.Core, now time.Time) {
 		o.appending = false
+		if owner != nil {
+			c.AllowLeases()
+		}
 		c.Committed(b, now)
 	})
 }
--- a/internal/daemon/earlier_owners.go
+++ b/internal/daemon/earlier_owners.go
@@ -109,6 +109,10 @@
 // unless its term must have ended anyhow.
 func (o *ownerTerm) askEarlierOwner(e *earlierOwner, elapsed time.Duration) {
 	i := o.instance
+	if e.record.GetIdle() {
+		e.stopped(0) // it has granted nothing that could be waited for
+		return
+	}
 	if e.record.GetPeerAddress() == i.peerAddress() {
 		e.stopped(o.notOwnerSince) // an earlier term of this process or of an earlier process at its address
 		return
--- a/internal/daemon/earlier_owners_test.go
+++ b/internal/daemon/earlier_owners_test.go
@@ -106,3 +106,24 @@
 	c.Check(replacedFor(third.GetEarlier()[0], 5*time.Second) >= scheduler.OwnerGrace, qt.IsTrue)
 	c.Check(replacedFor(third.GetEarlier()[1], 5*time.Second) < scheduler.OwnerGrace, qt.IsTrue)
 }
+
+// Guards against owners of very short terms, which have granted no lease, that are waited
+// for like others: each of them would let the wait for a lost worker begin anew.
+func TestIdleOwnersAreNotWaitedFor(t *testing.T) {
+	t.Parallel()
+	s := newDeployment(t, 1, 1, shortTask)
+	term := s.owner().currentTerm()
+	idle := &earlierOwner{record: &pb.OwnerRecord{Epoch: 2, PeerAddress: "127.0.0.1:1", Idle: true}}
+	term.askEarlierOwner(idle, 0)
+	qt.Check(t, idle.known && idle.stoppedAt == 0, qt.IsTrue)
+	other := &earlierOwner{record: &pb.OwnerRecord{Epoch: 2, PeerAddress: "127.0.0.1:1"}}
+	term.askEarlierOwner(other, 0)
+	qt.Check(t, other.known, qt.IsFalse)
+
+	// The record of a term that has granted leases says so.
+	s.submit(s.instances[0], 1, 1)
+	s.waitState(s.instances[0], 1, "completed")
+	state, err := s.instances[0].readJobs(t.Context())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, state.owner.GetIdle(), qt.IsFalse)
+}
--- a/internal/daemon/election.go
+++ b/internal/daemon/election.go
@@ -283,7 +283,7 @@
 			owner = &pb.OwnerRecord{
 				Epoch:    (s.owner.GetEpoch()>>epochRandomBits+1)<<epochRandomBits | rand.Int64N(1<<epochRandomBits),
 				Instance: i.settings.GetInstance(), PeerAddress: i.peerAddress(), Earlier: earlierOwners(previous),
-				CpuMilli: i.cpuMilli(),
+				CpuMilli: i.cpuMilli(), Idle: true,
 			}
 		}
 		s.claimedAt = bootTime()
--- a/internal/daemon/owner_term.go
+++ b/internal/daemon/owner_term.go
@@ -118,13 +118,16 @@
 	ctx, cancel := context.WithCancel(workCtx)
 	defer cancel()
 	o := &ownerTerm{
-		instance: i, epoch: s.owner.GetEpoch(), ctx: ctx, end: cancel, suspects: s.suspects, record: s.owner, notOwnerSince: bootTime() - i.notOwnerFor(),
+		instance: i, epoch: s.owner.GetEpoch(), ctx: ctx, end: cancel, suspects: s.suspects, notOwnerSince: bootTime() - i.notOwnerFor(),
 		events: make(chan event, maxQueuedEvents), done: make(chan struct{}),
 		sequence: 1, intakeCursors: s.intakeEnd, intakeRead: make([]storeContact, len(s.intakeEnd)),
 	}
 	for n := range o.intakeRead {
 		o.intakeRead[n].advance(s.claimedAt)
 	}
+	o.record = proto.CloneOf(s.owner)
+	o.record.Idle = false
+	o.recordQueued = []chan struct{}{make(chan struct{})} // goes with the first batch
 	o.restore(s)
 	if i.faulty.Load() {
 		return
--- a/internal/daemon/restore.go
+++ b/internal/daemon/restore.go
@@ -97,6 +97,7 @@
 
 		EvacuationBound: time.Duration(bounds.GetEvacuateMs()) * time.Millisecond,
 		RemoteFactor:    bounds.GetRemoteFactor(),
+		HoldLeasesBack:  true,
 	}
 }
 
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -95,7 +95,7 @@
 
 // maySend reports whether the start of a placed attempt may still be sent.
 func (c *Core) maySend(a *attempt, now time.Time) bool {
-	return a.stopReason == "" && a.job().active() && c.mayStartOn(a.worker, now) && c.suits(a.step(), a.worker)
+	return a.stopReason == "" && !c.opts.HoldLeasesBack && a.job().active() && c.mayStartOn(a.worker, now) && c.suits(a.step(), a.worker)
 }
 
 // mayStartOn reports whether the start of a placed attempt may be sent to a worker.
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -56,6 +56,8 @@
 	// RemoteFactor is how much longer a task takes away from the rack of its data, or of
 	// its gang. It is zero if it is not known.
 	RemoteFactor float64
+	// HoldLeasesBack lets the core grant no lease until AllowLeases is called.
+	HoldLeasesBack bool
 }
 
 // earlierLeaseBound returns how long after the takeover an attempt may still run
@@ -163,6 +165,9 @@
 // called before any job is restored.
 func (c *Core) RestoreInterference(s *pb.StoredPairs) { c.model.Restore(s) }
 
+// AllowLeases lets the core grant leases: the store now tells later owners that it may.
+func (c *Core) AllowLeases() { c.opts.HoldLeasesBack = false }
+
 // Start ends the restoration and begins scheduling.
 func (c *Core) Start(now time.Time) {
 	c.started = true
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -279,7 +279,7 @@
 		case w.fillerCPU > 0 || now.Sub(w.fillersEndedAt) < holdWait:
 			o.Wait = holdWaitServices // others may start at any time
 		}
-		if len(w.attempts) > 0 {
+		if len(w.attempts) > 0 && !c.opts.HoldLeasesBack {
 			o.Lease = w.clockNow(now) + c.opts.Lease
 			w.holdGrant.before = w.leaseEnd
 			c.grant(w, o.Lease, now)
