--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -9,6 +8,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -25,7 +26,37 @@
 	settings string
 	address  string
 	ready    string
-	output   *bytes.Buffer
+	output   *processOutput
+}
+
+// processOutput is the output of a process with the time of each write.
+type processOutput struct {
+	mu     sync.Mutex
+	writes []processWrite
+}
+
+type processWrite struct {
+	at   time.Time
+	text string
+}
+
+// Write implements io.Writer.
+func (o *processOutput) Write(data []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.writes = append(o.writes, processWrite{time.Now(), string(data)})
+	return len(data), nil
+}
+
+// String returns the whole output.
+func (o *processOutput) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var text strings.Builder
+	for _, w := range o.writes {
+		text.WriteString(w.text)
+	}
+	return text.String()
 }
 
 // processDeployment runs scheduler processes against an emulated platform.
@@ -65,7 +96,7 @@
 func (p *processDeployment) launch(proc *process) {
 	p.t.Helper()
 	proc.cmd = exec.Command(p.binary, "--settings", proc.settings)
-	proc.output = &bytes.Buffer{}
+	proc.output = &processOutput{}
 	proc.cmd.Stdout, proc.cmd.Stderr = proc.output, proc.output
 	qt.Assert(p.t, proc.cmd.Start(), qt.IsNil)
 }
--- a/internal/loopback/proxy.go
+++ b/internal/loopback/proxy.go
@@ -1,5 +1,5 @@
 // Package loopback forwards TCP connections between processes of a test on one
-// machine and injects network faults: it delays, stalls, closes and refuses them.
+// machine and injects network faults: it delays, stalls, closes, resets and refuses them.
 package loopback
 
 import (
@@ -24,6 +24,8 @@
 	StallToClient
 	// Refuse closes all connections and the listener.
 	Refuse
+	// Reset accepts connections and resets them at once, like open ones.
+	Reset
 )
 
 // Proxy is a TCP proxy on a loopback address in front of one server.
@@ -65,10 +67,14 @@
 	}
 	p.mode = mode
 	p.changed.Broadcast()
-	if mode == Refuse {
-		_ = p.listener.Close()
+	if p.closesConns() {
 		p.closeConnsLocked()
-		p.listener = nil
+	}
+	if mode == Refuse {
+		if p.listener != nil {
+			_ = p.listener.Close()
+			p.listener = nil
+		}
 		return nil
 	}
 	if p.listener != nil {
@@ -126,10 +132,22 @@
 
 func (p *Proxy) closeConnsLocked() {
 	for conn := range p.conns {
-		_ = conn.Close()
+		p.closeConn(conn)
 	}
 }
 
+// closesConns reports whether the mode forwards nothing and closes connections. The
+// caller holds mu.
+func (p *Proxy) closesConns() bool { return p.mode == Refuse || p.mode == Reset }
+
+// closeConn closes a connection, with a reset if the mode is Reset. The caller holds mu.
+func (p *Proxy) closeConn(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok && p.mode == Reset {
+		_ = tcp.SetLinger(0) // fails if the connection is closed already
+	}
+	_ = conn.Close()
+}
+
 func (p *Proxy) accept(listener net.Listener) {
 	for {
 		conn, err := listener.Accept()
@@ -160,16 +178,16 @@
 		time.Sleep(d)
 		p.mu.Lock()
 	}
-	return !p.closed && p.mode != Refuse
+	return !p.closed && !p.closesConns()
 }
 
 // track adds a connection to those that the proxy can close. It closes the
-// connection and returns false if the proxy refuses connections.
+// connection and returns false if the proxy refuses or resets connections.
 func (p *Proxy) track(conn net.Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || p.mode == Refuse {
-		_ = conn.Close()
+	if p.closed || p.closesConns() {
+		p.closeConn(conn)
 		return false
 	}
 	p.conns[conn] = true
