--- a/internal/loopback/proxy.go
+++ b/internal/loopback/proxy.go
@@ -26,6 +26,8 @@
 	Refuse
 	// Reset accepts connections and resets them at once, like open ones.
 	Reset
+	// ResetRequests resets open connections, and later ones once data arrives.
+	ResetRequests
 )
 
 // Proxy is a TCP proxy on a loopback address in front of one server.
@@ -138,11 +140,13 @@
 
 // closesConns reports whether the mode forwards nothing and closes connections. The
 // caller holds mu.
-func (p *Proxy) closesConns() bool { return p.mode == Refuse || p.mode == Reset }
+func (p *Proxy) closesConns() bool {
+	return p.mode == Refuse || p.mode == Reset || p.mode == ResetRequests
+}
 
-// closeConn closes a connection, with a reset if the mode is Reset. The caller holds mu.
+// closeConn closes a connection, with a reset if the mode asks for it. The caller holds mu.
 func (p *Proxy) closeConn(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok && p.mode == Reset {
+	if tcp, ok := conn.(*net.TCPConn); ok && (p.mode == Reset || p.mode == ResetRequests) {
 		_ = tcp.SetLinger(0) // fails if the connection is closed already
 	}
 	_ = conn.Close()
@@ -186,7 +190,7 @@
 func (p *Proxy) track(conn net.Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || p.closesConns() {
+	if p.closed || p.closesConns() && p.mode != ResetRequests {
 		p.closeConn(conn)
 		return false
 	}
@@ -207,6 +211,7 @@
 	}
 	defer p.untrack(client)
 	if !p.waitToForward(true) {
+		p.resetAfterRequest(client)
 		return
 	}
 	p.mu.Lock()
@@ -223,6 +228,19 @@
 	<-ended
 }
 
+// resetAfterRequest waits for data and resets the connection if the mode is ResetRequests.
+func (p *Proxy) resetAfterRequest(conn net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.mode != ResetRequests {
+		return
+	}
+	p.mu.Unlock()
+	_, _ = conn.Read(make([]byte, 1)) // an error means that the client has closed it
+	p.mu.Lock()
+	p.closeConn(conn)
+}
+
 // copy forwards the data of one direction until a connection ends.
 func (p *Proxy) copy(to, from net.Conn, toServer bool) {
 	buffer := make([]byte, 64<<10)
