scheduler: a restart of a long-running task logs its waits

Callers saw long-running tasks that were without a run for too long. The logs gave the loss of the worker and the start of the next run, but not which wait took the time: the takeover, the proof that no earlier owner acts, the lease, the placement or the store.

The line at the restart gives each part. TestRestartLogsItsWaits checks that it names them.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -206,6 +206,7 @@
 		a.startedAt = now
 		a.noteClock(r)
 		c.noteBegun(a.job())
+		c.logRestart(a, now)
 		if a.overcommitted {
 			c.setSpeed(a, a.speed, now)
 		}
@@ -366,7 +367,7 @@
 	t.step.round.attempts--
 	c.attempts--
 	defer t.closeIfOver()
-	j.lastEnd, t.endedAt, t.waitedBefore = now, now, 0
+	j.lastEnd, t.endedAt, t.lostAt, t.waitedBefore = now, now, time.Time{}, 0
 	if !a.overcommitted {
 		t.servedAt = now
 	}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -95,6 +95,7 @@
 	started   bool      // Start was called
 	// noEarlierOwner is set once no earlier owner can send commands any more.
 	noEarlierOwner bool
+	confirmedAt    time.Time // when it was set
 	config         *Config
 	jobs           map[string]*job
 	cancelled      map[string]cancellation // those that arrived before their jobs
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -99,6 +99,7 @@
 	// notBefore is the earliest time of the next attempt after a failure.
 	notBefore time.Time
 	endedAt   time.Time // of the newest attempt
+	lostAt    time.Time // when its loss was handled, zero if it was not lost
 	// servedAt is the end of the newest attempt that was not overcommitted.
 	servedAt time.Time
 	// waitedBefore is for how long the task had waited when this owner learned that it
--- a/internal/scheduler/loss.go
+++ b/internal/scheduler/loss.go
@@ -101,12 +101,37 @@
 	since := c.silentAt(a.worker, now)
 	served := a.task.servedAt
 	c.endAttempt(a, EndLost, "", now)
-	a.task.endedAt = since
+	a.task.endedAt, a.task.lostAt = since, now
 	if a.task.servedAt != served {
 		a.task.servedAt = since
 	}
 }
 
+// logRestart logs the parts of the time for which a long-running task had no attempt.
+func (c *Core) logRestart(a *attempt, now time.Time) {
+	t := a.task
+	if !a.step().longRunning() || t.endedAt.IsZero() {
+		return
+	}
+	placeable := t.endedAt
+	if !t.lostAt.IsZero() {
+		placeable = t.lostAt
+	}
+	c.addLogEntry("long-running task restarted", a.job().sub.GetRequestId(), "run", a.attemptID.String(), "worker", a.worker.id,
+		"silent_ms", placeable.Sub(t.endedAt).Milliseconds(), "waited_ms", a.placedAt.Sub(placeable).Milliseconds(),
+		"recorded_ms", a.sentAt.Sub(a.placedAt).Milliseconds(), "started_ms", now.Sub(a.sentAt).Milliseconds(),
+		"owner_ms", now.Sub(c.startedAt).Milliseconds(), "proof_ms", c.proofTime().Milliseconds())
+}
+
+// proofTime returns how long the takeover took until no earlier owner could act any more,
+// negative if that is not known.
+func (c *Core) proofTime() time.Duration {
+	if !c.noEarlierOwner {
+		return -time.Millisecond
+	}
+	return c.confirmedAt.Sub(c.startedAt)
+}
+
 // silentAt returns when a worker fell silent, or now if it answers. A worker that has
 // never answered this owner has been silent since the takeover or before.
 func (c *Core) silentAt(w *worker, now time.Time) time.Time {
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -127,3 +128,28 @@
 	c.Check(took < 6500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", took))
 	c.Check(sim.violations, qt.HasLen, 0)
 }
+
+// Guards against a restart whose log line doesn't tell which of the waits took the time.
+func TestRestartLogsItsWaits(t *testing.T) {
+	c := qt.New(t)
+	sim := newSimulation(1, 2)
+	sim.taskFor = func(AttemptID) simTask { return simTask{longRunning: true} }
+	s := simStepSpec(1, 1000)
+	s.Lasting = true
+	sim.submit(simJob(1, s))
+	sim.run(5 * time.Second)
+	_, on := sim.longRunningAttempts()
+	c.Assert(on, qt.HasLen, 1)
+	on[0].unreachable = true
+	sim.run(12 * time.Second)
+	var lines []string
+	for _, line := range sim.trace {
+		if strings.Contains(line, "long-running task restarted") {
+			lines = append(lines, line)
+		}
+	}
+	c.Assert(lines, qt.HasLen, 1)
+	for _, field := range []string{"silent_ms", "waited_ms", "recorded_ms", "started_ms", "owner_ms", "proof_ms"} {
+		c.Check(lines[0], qt.Contains, field)
+	}
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -201,7 +201,7 @@
 // one of them has started on a worker that doesn't answer runs for at most one lease from
 // then on.
 func (c *Core) ConfirmNoEarlierOwner(stoppedAt, now time.Time) {
-	c.noEarlierOwner = true
+	c.noEarlierOwner, c.confirmedAt = true, now
 	end := stoppedAt.Add(time.Duration(float64(c.opts.Lease)*clockDriftFactor) + leaseSlack)
 	for _, w := range c.workerList {
 		if !w.adopted && w.leaseEnd.After(end) {
