scheduler: the lease of a silent worker is not renewed

Cause: for 1.5 s after the first hold without an answer further holds carried a lease, and each one that was reset counted as received. So a worker that resets connections was waited for 1.5 s longer than one that refuses them.

Change: a hold to a silent worker asks only. The lease is renewed with the next hold once one is answered, which takes one more call. No grant is taken back, so that the argument why no task runs twice stays as it was.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -23,9 +23,6 @@
 	holdWaitServices = 500 * time.Millisecond
 	// holdRetry is the pause after a hold without an answer.
 	holdRetry = 250 * time.Millisecond
-	// renewWhileSilent is how long the lease of a silent worker is still renewed.
-	// After that its attempts must be able to expire.
-	renewWhileSilent = 1500 * time.Millisecond
 	// maxAnswerAge is the age of a worker's newest answer from which it receives no
 	// new work. An answer to a hold may take holdWait plus the call's timeout.
 	maxAnswerAge = holdWait + time.Second
--- a/internal/scheduler/lease_bounds_test.go
+++ b/internal/scheduler/lease_bounds_test.go
@@ -78,11 +78,15 @@
 
 // darken cuts a worker off. The hold that it has received is not answered any more.
 func (sim *simulation) darken(sw *simWorker) {
-	sw.unreachable = true
+	sw.unreachable = !sw.resets
 	if h := sw.pendingHold; h != nil {
 		core := sim.core
 		sw.pendingHold = nil
-		sim.after(h.until.Sub(sim.now)+700*time.Millisecond, func() {
+		timeout := h.until.Sub(sim.now) + 700*time.Millisecond
+		if sw.resets {
+			timeout = simStep
+		}
+		sim.after(timeout, func() {
 			if core == sim.core {
 				core.CommandDone(CommandResult{Command: h.command, Err: errors.New("no answer")}, sim.now)
 			}
@@ -167,3 +171,31 @@
 		qt.Check(t, on, qt.HasLen, 6, qt.Commentf("seed %d", seed))
 	}
 }
+
+// Guards against a lost worker that is waited for longer than a lease, since each hold whose
+// connection is reset counts as one that may have renewed the lease.
+func TestResetHoldsRenewNothing(t *testing.T) {
+	c := qt.New(t)
+	sim, sw := newLongRunningSimulation(c, 1, 2)
+	sw.resets = true
+	sim.darken(sw)
+	sim.checkRestart(c, sw)
+}
+
+// checkRestart checks that the task of a worker that is lost now runs again once its lease
+// has expired, and 0.1 s later at the latest.
+func (sim *simulation) checkRestart(c *qt.C, sw *simWorker) {
+	lost, runs := sim.now, 0
+	sim.onStart = func(id AttemptID, on *simWorker) {
+		if id.Job == simJob(1).GetId() && on != sw {
+			runs++
+		}
+	}
+	for runs == 0 && sim.now.Sub(lost) < 20*time.Second {
+		sim.step()
+	}
+	took := sim.now.Sub(lost)
+	c.Logf("runs again after %v", took)
+	c.Check(took < sim.core.opts.longestLease()+100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", took))
+	c.Check(sim.violations, qt.HasLen, 0)
+}
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -135,6 +135,7 @@
 	ended         []EndedAttempt
 	next          int64
 	unreachable   bool // commands don't reach it
+	resets        bool // connections to it are reset
 	pendingHold   *openHold
 	listed        bool
 	rack          string
@@ -344,6 +345,10 @@
 		lost()
 		return
 	}
+	if target.resets {
+		answer(CommandResult{Command: o, Err: fmt.Errorf("connection reset")})
+		return
+	}
 	if sim.now.Before(target.downUntil) {
 		answer(CommandResult{Command: o, Err: fmt.Errorf("connection refused"), NotSent: true})
 		return
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -256,12 +256,9 @@
 		// it discard ends that the core has not seen.
 		o.Cursor = w.cursor
 	}
-	silent := !w.silentSince.IsZero() && now.Sub(w.silentSince) > renewWhileSilent
-	if w.adopted && !silent && (!w.leaseBounded || c.disabled.renewBounded) {
+	if w.adopted && w.silentSince.IsZero() && (!w.leaseBounded || c.disabled.renewBounded) {
 		o.Wait = holdWait
 		switch {
-		case !w.silentSince.IsZero():
-			o.Wait = 0 // no task starts there before the answer
 		case w.services == 0:
 		case w.refusesFillers:
 			o.Wait = measureWindow
