daemon: a repeated claim names the newest record of the earlier owner

Cause: a claim is conditional on the end of the log. After a conflict the state is read again, but the claim kept the record of the earlier owner from the first read. The earlier owner may have written since: that it grants leases (so that its successor doesn't wait for them), other witnesses, or, since, that a worker's lease is not bounded any more. The class: a conditional write that is repeated without being derived anew.

Change: each attempt derives the earlier owners from the state that it has read.

TestRepeatedClaimNamesNewestRecordOfEarlierOwner lets the earlier owner write between the read and the append; it failed before and passes now.

--- a/internal/daemon/election.go
+++ b/internal/daemon/election.go
@@ -282,10 +282,11 @@
 			previous = s.owner
 			owner = &pb.OwnerRecord{
 				Epoch:    (s.owner.GetEpoch()>>epochRandomBits+1)<<epochRandomBits | rand.Int64N(1<<epochRandomBits),
-				Instance: i.settings.GetInstance(), PeerAddress: i.peerAddress(), Earlier: earlierOwners(previous),
+				Instance: i.settings.GetInstance(), PeerAddress: i.peerAddress(),
 				CpuMilli: i.cpuMilli(), Idle: true,
 			}
 		}
+		owner.Earlier = earlierOwners(s.owner) // may have changed since an attempt that failed
 		s.claimedAt = bootTime()
 		if lastErr = i.appendClaim(ctx, owner, s.end); lastErr == nil {
 			s.owner, s.end = owner, s.end+1
