scheduler: workers with long-running tasks answer holds within 1 s

Cause: the silence is noticed once the answer to the hold is overdue, and a hold may wait for 1.5 s.

Change: on workers with long-running tasks it waits for 1 s at most.

TestOwnerLostBeforeSilenceIsNoticed plays 240 combinations of the time between the two losses and the phase of the hold: 4 failed before, none now.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -17,6 +17,9 @@
 	// Renewing a lease of 6 s every 1.5 s leaves at least 4.5 s of it when a
 	// worker is cut off.
 	holdWait = 1500 * time.Millisecond
+	// holdWaitLongRunning replaces holdWait on a worker with long-running tasks. The answer
+	// to the hold is overdue that much sooner if the worker is lost.
+	holdWaitLongRunning = time.Second
 	// holdWaitServices replaces holdWait on a worker with both services and fillers, also
 	// for a time after the last filler has ended. It bounds the age of the latency
 	// measurements.
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -60,6 +60,7 @@
 	// without any. What started earlier would take over the harm of those evicted.
 	refusesFillers bool
 	services       int          // services on the worker
+	longRunning    int          // attempts at long-running tasks, services among them
 	overcommitted  int          // attempts, see attempt.overcommitted
 	shortUses      []shortUse   // one for each priority
 	pastFillers    []pastFiller // fillers that ended recently
@@ -126,6 +127,9 @@
 	if s.role.serves {
 		w.services += int(sign)
 	}
+	if s.longRunning() {
+		w.longRunning += int(sign)
+	}
 	if a.trial {
 		w.trials += int(sign)
 	}
@@ -259,11 +263,12 @@
 	if w.adopted && w.silentSince.IsZero() && (!w.leaseBounded || c.disabled.renewBounded) {
 		o.Wait = holdWait
 		switch {
-		case w.services == 0:
-		case w.refusesFillers:
+		case w.services > 0 && w.refusesFillers:
 			o.Wait = measureWindow
-		case w.fillerCPU > 0 || now.Sub(w.fillersEndedAt) < holdWait:
+		case w.services > 0 && (w.fillerCPU > 0 || now.Sub(w.fillersEndedAt) < holdWait):
 			o.Wait = holdWaitServices // others may start at any time
+		case w.longRunning > 0:
+			o.Wait = holdWaitLongRunning
 		}
 		if len(w.attempts) > 0 && !c.opts.HoldLeasesBack {
 			o.Lease = w.clockNow(now) + c.opts.Lease
