daemon: an owner whose record the store rejects ends its term

Cause: records that the store rejects, since they are too large, count as handled, so that the append goes on. For the owner's record this meant that leases were allowed, and bounds lifted, without the record that must precede them. A claim that repeats the bounds of many earlier owners could have become as large, and would then have failed for good.

Change: the term ends. A claim carries at most 2,000 bounds of earlier owners, the newest first; without a bound a whole lease is waited for.

--- a/internal/daemon/commit.go
+++ b/internal/daemon/commit.go
@@ -33,6 +33,10 @@
 		}
 		for _, key := range rejected {
 			id, _, _ := strings.Cut(key, blockSeparator)
+			if id == ownerKey {
+				o.endTerm("the store rejects the owner's record")
+				return
+			}
 			b.Rejected = append(b.Rejected, id)
 		}
 	}
--- a/internal/daemon/earlier_owners.go
+++ b/internal/daemon/earlier_owners.go
@@ -20,6 +20,9 @@
 	// earlierOwnerRecordInterval is how often the owner records for how long the earlier
 	// owners have been replaced.
 	earlierOwnerRecordInterval = time.Second
+	// maxEarlierLeaseBounds limits the lease bounds of earlier owners in a claim, so that
+	// the store takes it.
+	maxEarlierLeaseBounds = 2000
 	// clockTolerance is by how much, relative to a time span, the clocks of two machines
 	// may differ.
 	clockTolerance = 0.02
@@ -33,7 +36,14 @@
 	}
 	last := proto.CloneOf(previous)
 	last.Earlier = nil
-	return append(previous.GetEarlier(), last)
+	list := append(previous.GetEarlier(), last)
+	bounds := 0
+	for _, e := range slices.Backward(list) {
+		if bounds += len(e.GetLeaseBounds()); bounds > maxEarlierLeaseBounds {
+			e.LeaseBounds = nil // whole leases are waited for
+		}
+	}
+	return list
 }
 
 // earlierOwner is what a newer owner knows of an earlier one.
