--- a/internal/scheduler/lease_bounds.go
+++ b/internal/scheduler/lease_bounds.go
@@ -126,7 +126,7 @@
 		return
 	}
 	c.leaseBoundsDue, c.leaseBoundsCheckedAt = false, now
-	var silent, answering []*worker
+	var silent, released []*worker
 	changed := false
 	for _, w := range c.workerList {
 		switch {
@@ -134,14 +134,14 @@
 			silent = append(silent, w)
 			changed = changed || !w.leaseBounded
 		case w.leaseBounded:
-			answering = append(answering, w)
+			released = append(released, w)
 			changed = true
 		}
 	}
 	if !changed && (len(silent) == 0 || now.Sub(c.leaseBoundsAt) < leaseBoundInterval) {
 		return
 	}
-	c.leaseBoundsAt, b.leaseBoundsTaken, b.lifted = now, true, answering
+	c.leaseBoundsAt, b.leaseBoundsTaken, b.lifted = now, true, released
 	for _, w := range silent {
 		w.leaseBounded = true
 		b.LeaseBounds = append(b.LeaseBounds, LeaseBound{w.id, max(w.leaseEnd.Sub(now), 0)})
