api: a request body takes memory as it arrives

Each request whose header announced a body took its whole size, up to max_body_bytes, before a byte of it had come, so that connections that send nothing more exhaust an entry instance.

Cause: readBody allocated Content-Length bytes at once.

Change: the buffer starts with at most 4 KiB and grows with what arrives. A body of up to 4 KiB still takes one allocation. A body shorter than announced is refused as before.

--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -134,6 +135,22 @@
 	}
 }
 
+// Guards against memory that is taken for a body because its length was announced.
+func TestAnnouncedBodyTakesNoMemory(t *testing.T) {
+	c := qt.New(t)
+	const limit = 64 << 20
+	h := New(Options{Events: events.NewRecorder("entry-1", 10, events.NewClock(time.Now)), Settings: &pb.RequestSettings{MaxBodyBytes: limit}})
+	r := httptest.NewRequest("POST", "/v1/services/pickbook/requests", strings.NewReader("only the beginning"))
+	r.ContentLength = limit
+	w := httptest.NewRecorder()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	h.ServeHTTP(w, r)
+	runtime.ReadMemStats(&after)
+	c.Assert(w.Code, qt.Equals, 400)
+	c.Assert(after.TotalAlloc-before.TotalAlloc < limit/4, qt.IsTrue, qt.Commentf("%d bytes", after.TotalAlloc-before.TotalAlloc))
+}
+
 // Guards against event filters that are ignored.
 func TestEventsFilter(t *testing.T) {
 	c := qt.New(t)
--- a/internal/api/requests.go
+++ b/internal/api/requests.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -16,6 +17,8 @@
 const (
 	maxNameBytes        = 128
 	maxContentTypeBytes = 256
+	// firstReadBytes is the size up to which the buffer of a body is allocated at once.
+	firstReadBytes = 4 << 10
 )
 
 func (s *server) postRequest(w http.ResponseWriter, r *http.Request) {
@@ -119,19 +122,18 @@
 	if r.ContentLength > limit {
 		return nil, newFailure("body", http.StatusRequestEntityTooLarge, "body is larger than %d bytes", limit)
 	}
-	reader := http.MaxBytesReader(w, r.Body, limit)
-	var body []byte
-	var err error
-	if r.ContentLength >= 0 {
-		body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(reader, body)
-	} else {
-		body, err = io.ReadAll(reader)
+	// The client may never send what the header announces, so the buffer grows with what
+	// arrives.
+	first := min(max(r.ContentLength, 0), firstReadBytes)
+	body := bytes.NewBuffer(make([]byte, 0, first+bytes.MinRead))
+	_, err := body.ReadFrom(http.MaxBytesReader(w, r.Body, limit))
+	if err == nil && int64(body.Len()) < r.ContentLength {
+		err = io.ErrUnexpectedEOF
 	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
-		return body, nil
+		return body.Bytes(), nil
 	case errors.As(err, &tooLarge):
 		return nil, newFailure("body", http.StatusRequestEntityTooLarge, "body is larger than %d bytes", limit)
 	default:
