daemon: the records that wait for the store are limited in bytes

While the store does not answer, submissions wait in the intake or for the owner.

Cause: the intake limited their number, 1,024 in each of 16 partitions. With records of up to 262,144 bytes that is 4.3 GB on a machine of 284 MiB. The records that other instances pass to the owner had no limit in sum either.

Change: the record of a submission or cancellation reserves its size before it is encoded, wherever it comes from, of an eighth of memory_mib (35.5 MiB at 284 MiB). It is refused with 503 and the outcome not_run unless 16 times its size is free, so that large records leave room for small ones. One that waits alone is always admitted. A refused record is not passed to the owner.

--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -60,10 +60,15 @@
 // appends then hold the records of all instances. Storing a record twice does no
 // harm, since it has a key.
 func (i *Instance) accept(ctx context.Context, id, key string, record *pb.IntakeRecord) error {
+	release, err := i.intake.memory.reserve(record)
+	if err != nil {
+		return err
+	}
+	defer release()
 	if i.storeLatency.slow() && i.mayPassToOwner() {
 		return i.acceptWhileSlow(ctx, id, key, record)
 	}
-	err := i.intake.add(ctx, id, key, record)
+	err = i.intake.add(ctx, id, key, record)
 	if err == nil || !i.mayPassToOwner() || ctx.Err() != nil {
 		return err
 	}
@@ -139,7 +144,12 @@
 
 // Accept implements pb.DRPCJobsServer.
 func (s *jobsServer) Accept(ctx context.Context, r *pb.AcceptRequest) (*pb.AcceptReply, error) {
-	err := (*Instance)(s).intake.add(ctx, strings.TrimPrefix(r.GetKey(), cancelPrefix), r.GetKey(), r.GetRecord())
+	intake := (*Instance)(s).intake
+	release, err := intake.memory.reserve(r.GetRecord())
+	if err == nil {
+		defer release()
+		err = intake.add(ctx, strings.TrimPrefix(r.GetKey(), cancelPrefix), r.GetKey(), r.GetRecord())
+	}
 	if err == nil {
 		return &pb.AcceptReply{Stored: true}, nil
 	}
--- a/internal/daemon/intake.go
+++ b/internal/daemon/intake.go
@@ -57,6 +57,7 @@
 type intake struct {
 	instance  *Instance
 	appenders []*partitionAppender
+	memory    *recordMemory
 
 	mu     sync.RWMutex
 	closed bool // no appender takes an entry from its queue any more
@@ -120,7 +121,7 @@
 }
 
 func newIntake(i *Instance) *intake {
-	q := &intake{instance: i}
+	q := &intake{instance: i, memory: newRecordMemory(i.settings)}
 	for n := range intakePartitions(i.settings.GetStore()) {
 		q.appenders = append(q.appenders, &partitionAppender{intake: q, partition: store.Partition{Topic: intakeTopic, Number: n}, queue: make(chan *intakeEntry, maxQueuedRecords), inFlight: make(chan struct{}, maxConcurrentAppends)})
 	}
@@ -129,7 +130,7 @@
 
 // add stores a record and returns once the store has confirmed it. After an error
 // with the outcome not-run the record is not stored and never will be. After any
-// other error it may be stored.
+// other error it may be stored. The caller has reserved memory for the record.
 func (q *intake) add(ctx context.Context, id, key string, record *pb.IntakeRecord) error {
 	const step = "intake"
 	data, err := proto.Marshal(record)
--- a/internal/daemon/intake_batch_test.go
+++ b/internal/daemon/intake_batch_test.go
@@ -97,3 +97,37 @@
 	qt.Check(t, results, qt.HasLen, 1000)
 	qt.Check(t, accepted > 0 && refused >= 20 && s.shared > 0, qt.IsTrue)
 }
+
+// Guards against records that wait for the store, each of the size of a body, and together
+// take more memory than the machine has; and against large ones that shut out small ones.
+func TestWaitingRecordsAreLimitedInBytes(t *testing.T) {
+	c := qt.New(t)
+	i := &Instance{settings: &pb.SchedulerSettings{MemoryMib: 64}}
+	i.intake = newIntake(i)
+	i.intake.closed = true // a record that is admitted gets another error
+	record := func(size int) *pb.IntakeRecord {
+		return &pb.IntakeRecord{Kind: &pb.IntakeRecord_Cancelled{Cancelled: strings.Repeat("x", size)}}
+	}
+	admitted := 0
+	for ; admitted < 1000; admitted++ {
+		if _, err := i.intake.memory.reserve(record(defaultRecordBytes)); err != nil {
+			break
+		}
+	}
+	c.Assert(admitted > 0 && admitted*defaultRecordBytes <= 64<<20/recordMemoryShare, qt.IsTrue, qt.Commentf("%d records", admitted))
+
+	err := i.accept(context.Background(), "a", "a", record(defaultRecordBytes))
+	c.Check(err, qt.ErrorMatches, ".* has no room beside .*")
+	c.Check(errs.From("", "", err).Outcome, qt.Equals, pb.Outcome_OUTCOME_NOT_RUN)
+	reply, err := (*jobsServer)(i).Accept(context.Background(), &pb.AcceptRequest{Key: "a", Record: record(defaultRecordBytes)})
+	c.Check(err, qt.IsNil)
+	c.Check(reply.GetNotStored(), qt.IsTrue)
+	c.Check(reply.GetError(), qt.Matches, ".* has no room beside .*")
+
+	release, err := i.intake.memory.reserve(record(1000))
+	c.Assert(err, qt.IsNil)
+	release()
+	alone, err := newRecordMemory(&pb.SchedulerSettings{MemoryMib: 1}).reserve(record(defaultRecordBytes))
+	c.Assert(err, qt.IsNil)
+	alone()
+}
