daemon: a takeover drops the records that it has decoded

An owner that starts after clients have submitted large valid jobs needs more memory than while it accepted them, and may exceed its machine at every takeover.

Cause: restoreCore decoded the records of the intake while all of them stayed in memory, and decoded each twice, the second time for the cancellations.

Change: each record is decoded once, and its value is dropped before the next one. Cancellations still come after all submissions.

TestRestoreDropsTheRecords fails without the change.

--- a/internal/daemon/large_jobs_test.go
+++ b/internal/daemon/large_jobs_test.go
@@ -6,12 +6,14 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/proto"
 
 	"gooseberryreel/internal/emulator"
 	"gooseberryreel/internal/pb"
+	"gooseberryreel/internal/scheduler"
 	"gooseberryreel/internal/store"
 )
 
@@ -146,3 +148,26 @@
 	}
 	c.Check(proto.Equal(s.interference, model), qt.IsTrue)
 }
+
+// Guards against records of the intake that stay in memory beside what is decoded from them,
+// and against a cancellation that is lost because its record comes before the submission.
+func TestRestoreDropsTheRecords(t *testing.T) {
+	i := &Instance{settings: &pb.SchedulerSettings{}}
+	encode := func(key string, r *pb.IntakeRecord) store.Record {
+		data, err := proto.Marshal(r)
+		qt.Assert(t, err, qt.IsNil)
+		return store.Record{Key: key, Value: data}
+	}
+	submission := func(id string) store.Record {
+		return encode(id, &pb.IntakeRecord{Kind: &pb.IntakeRecord_Submission{Submission: &pb.Submission{Id: id, Queue: "q", Steps: []*pb.StepSpec{{Tasks: 1}}}}})
+	}
+	s := &storedState{interference: &pb.StoredPairs{}, intake: []store.Record{
+		encode(cancelPrefix+"b", &pb.IntakeRecord{Kind: &pb.IntakeRecord_Cancelled{Cancelled: "b"}}), submission("a"), submission("b"),
+	}}
+	core := scheduler.New(i.coreOptions(nil), time.Now())
+	i.restoreCore(core, s, time.Now())
+	qt.Check(t, core.Waiting()["q"], qt.Equals, int64(1))
+	for _, r := range s.intake {
+		qt.Check(t, r.Value, qt.HasLen, 0, qt.Commentf("%s", r.Key))
+	}
+}
--- a/internal/daemon/restore.go
+++ b/internal/daemon/restore.go
@@ -102,11 +102,13 @@
 }
 
 // restoreCore restores stored state in a new core: all submissions before the
-// cancellations.
+// cancellations. It drops the values of the intake, which the core keeps decoded.
 func (i *Instance) restoreCore(core *scheduler.Core, s *storedState, now time.Time) {
 	core.RestoreInterference(s.interference)
 	submitted := make(map[string]bool, len(s.intake))
-	for _, r := range s.intake {
+	var cancelled []string
+	for n, r := range s.intake {
+		s.intake[n].Value = nil
 		submitted[r.Key] = true
 		record := &pb.IntakeRecord{}
 		if err := proto.Unmarshal(r.Value, record); err != nil {
@@ -116,6 +118,7 @@
 		sub := record.GetSubmission()
 		switch {
 		case sub == nil:
+			cancelled = append(cancelled, record.GetCancelled())
 		case s.suspects[sub.GetId()] >= maxOwnerCrashes:
 			core.SetAside(sub, s.jobs[sub.GetId()], now)
 		case s.unreadable[sub.GetId()]:
@@ -124,10 +127,9 @@
 			core.Restore(sub, s.jobs[sub.GetId()], now)
 		}
 	}
-	for _, r := range s.intake {
-		record := &pb.IntakeRecord{}
-		if proto.Unmarshal(r.Value, record) == nil && record.GetCancelled() != "" {
-			core.Cancel(record.GetCancelled(), now)
+	for _, id := range cancelled {
+		if id != "" {
+			core.Cancel(id, now)
 		}
 	}
 	s.removeLeftovers(core, submitted)
