--- a/internal/daemon/large_jobs_test.go
+++ b/internal/daemon/large_jobs_test.go
@@ -1,8 +1,11 @@
 package daemon
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
+	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -171,3 +174,46 @@
 		qt.Check(t, r.Value, qt.HasLen, 0, qt.Commentf("%s", r.Key))
 	}
 }
+
+// Guards against an owner that runs out of memory at its takeover: it held the records of
+// the submissions beside what it decoded from them.
+func TestTakeoverOfLargeJobsStaysWithinTheMemory(t *testing.T) {
+	const memoryMib, jobs = 96, 200
+	p := newProcessDeployment(t, 1, func(string, int) emulator.Behaviour { return emulator.Behaviour{RunTime: time.Hour} })
+	p.configureLimits(2, defaultRecordBytes)
+	proc := p.processes[0]
+	p.kill(proc)
+	data, err := os.ReadFile(proc.settings)
+	qt.Assert(t, err, qt.IsNil)
+	data = bytes.Replace(data, []byte(`"memory_mib":256`), fmt.Appendf(nil, `"memory_mib":%d`, memoryMib), 1)
+	qt.Assert(t, os.WriteFile(proc.settings, data, 0o600), qt.IsNil)
+	p.restart(proc)
+	p.submitTo(proc, jobs+1, 1)
+	large := job(make([]int, 64)...)
+	for _, step := range large["Phases"].([]map[string]any) {
+		step["Count"], step["Image"] = 1, strings.Repeat("x", 3900)
+	}
+	check := func(when string) {
+		p.eventually("an ordinary request is answered "+when, func() bool {
+			status, _ := p.call(proc, http.MethodGet, path(jobs+1), nil)
+			return status == http.StatusOK
+		})
+		status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", proc.cmd.Process.Pid))
+		qt.Assert(t, err, qt.IsNil)
+		_, rest, _ := strings.Cut(string(status), "VmHWM:")
+		kib, err := strconv.Atoi(strings.Fields(rest)[0])
+		qt.Assert(t, err, qt.IsNil)
+		t.Logf("%s: %d MiB", when, kib>>10)
+		qt.Check(t, kib <= memoryMib<<10, qt.IsTrue, qt.Commentf("%s: %d MiB of %d", when, kib>>10, memoryMib))
+	}
+	for n := range jobs {
+		p.eventually("submission accepted", func() bool {
+			status, _ := p.call(proc, http.MethodPost, path(n+1), large)
+			return status == http.StatusOK
+		})
+	}
+	check("after the submissions")
+	p.kill(proc)
+	p.restart(proc)
+	check("after a restart")
+}
