scheduler: a new owner records the bounds of the earlier ones at once

Change: a worker whose lease all earlier owners have bounded stays bounded until it answers, so that the bound goes with the first record of the new owner.

--- a/internal/scheduler/disabled.go
+++ b/internal/scheduler/disabled.go
@@ -41,13 +41,14 @@
 	learnRemote          bool // durations away from the data are learned as they are
 	noGangHolds          bool // no room is held for a gang
 	// nearWait, if not nil, replaces the decision to wait for room near the data.
-	nearWait      func(locality.Question) locality.Answer
-	ignoreCost    bool // urgent steps are ordered by standing and due time alone
-	rankAll       bool // each pass ranks all workers for each waiting step
-	noLeaseBounds bool // the leases of silent workers are not recorded
-	renewBounded  bool // bounded leases are renewed
-	noCopies      bool // stragglers of speculative steps get no copies
-	discardEarly  bool // a worker discards the end of a task whose copy may still start
+	nearWait        func(locality.Question) locality.Answer
+	ignoreCost      bool // urgent steps are ordered by standing and due time alone
+	rankAll         bool // each pass ranks all workers for each waiting step
+	noLeaseBounds   bool // the leases of silent workers are not recorded
+	renewBounded    bool // bounded leases are renewed
+	dropLeaseBounds bool // the bounds of earlier owners are not recorded again
+	noCopies        bool // stragglers of speculative steps get no copies
+	discardEarly    bool // a worker discards the end of a task whose copy may still start
 	// knownSpeed, if not nil, replaces the learned speed of workers for copies.
 	knownSpeed func(*worker) float64
 }
--- a/internal/scheduler/lease_bounds.go
+++ b/internal/scheduler/lease_bounds.go
@@ -77,6 +77,7 @@
 		}
 		if bounded {
 			w.limitLease(c.startedAt.Add(longest))
+			w.leaseBounded = !c.disabled.dropLeaseBounds // this owner may be lost before it finds the worker silent
 		}
 	}
 }
@@ -158,7 +159,7 @@
 	case w.adopted && w.holdInFlight:
 		return !c.late && now.Sub(w.holdDue) > overdueDelay
 	default:
-		return !w.adopted && now.Sub(c.startedAt) >= unansweredDelay
+		return !w.adopted && (w.leaseBounded || now.Sub(c.startedAt) >= unansweredDelay)
 	}
 }
 
--- a/internal/scheduler/lease_bounds_test.go
+++ b/internal/scheduler/lease_bounds_test.go
@@ -199,3 +199,29 @@
 	c.Check(took < sim.core.opts.longestLease()+100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", took))
 	c.Check(sim.violations, qt.HasLen, 0)
 }
+
+// Guards against an owner that is lost soon after its takeover, before it has found a worker
+// silent, and takes along the bound that the owner before it had recorded.
+func TestShortTermKeepsLeaseBounds(t *testing.T) {
+	restart := func(disabled disabledRules) time.Duration {
+		c := qt.New(t)
+		sim, sw := newLongRunningSimulation(c, 1, 3)
+		sim.core.disabled, sim.disabled = disabled, disabled
+		lost := sim.now
+		sim.darken(sw)
+		sim.run(3 * time.Second)
+		sim.ownerDown(2 * time.Second)
+		sim.run(300 * time.Millisecond)
+		sim.ownerDown(2 * time.Second)
+		starts := sim.starts
+		for sim.starts == starts && sim.now.Sub(lost) < time.Minute {
+			sim.step()
+		}
+		c.Check(sim.violations, qt.HasLen, 0)
+		return sim.now.Sub(lost)
+	}
+	kept, dropped := restart(disabledRules{}), restart(disabledRules{dropLeaseBounds: true})
+	t.Logf("restart after %v, %v without the earlier bounds", kept, dropped)
+	qt.Check(t, kept < 9*time.Second, qt.IsTrue, qt.Commentf("%v", kept))
+	qt.Check(t, dropped > kept, qt.IsTrue)
+}
