soak: late restarts of long-running tasks are findings

The soak could not see it: it cancelled its long-running jobs within a second or at the end, checked only that no task ran twice, and lost no worker and no owner for long.

From 6 s after the end of its last run no task of a long-running job may lack a run for 3 s if these and the 4 s before are calm and have room. The emulated workers record the ends of runs, the soak records when each fault really began and ended. The absence of a lost worker or owner is no disturbance, its loss and its return are. - New kinds of faults: the busiest worker is lost and its address resets, hangs or refuses; the owner is killed, or stopped so that its connections hang. They come in series of up to two workers and two owners, until the next series or for good.

--- a/cmd/gooseberry-soak/main.go
+++ b/cmd/gooseberry-soak/main.go
@@ -29,6 +29,7 @@
 	Instances int              `help:"Number of scheduler processes." default:"4"`
 	Workers   int              `help:"Number of emulated workers." default:"6"`
 	Callers   int              `help:"Number of concurrent callers." default:"6"`
+	LongLived int              `help:"Number of long-running jobs that run until the end of each seed; 0 also leaves out the losses of workers and owners."`
 	Only      []soak.Kind      `help:"Kind of faults to inject, as printed with --verbose; may be repeated. Default: all."`
 	Dir       string           `help:"Directory for the settings and logs of seeds with findings." default:"soak" type:"path"`
 	Verbose   bool             `help:"Print each injected fault and each finding."`
@@ -54,7 +55,7 @@
 			return exitFailed
 		}
 		runOptions := soak.Options{
-			Seed: seed, Duration: o.Duration, Instances: o.Instances, Workers: o.Workers, Callers: o.Callers, Binary: o.Binary, Dir: dir, Only: o.Only,
+			Seed: seed, Duration: o.Duration, Instances: o.Instances, Workers: o.Workers, Callers: o.Callers, LongLived: o.LongLived, Binary: o.Binary, Dir: dir, Only: o.Only,
 		}
 		if o.Verbose {
 			runOptions.Print = func(format string, args ...any) { fmt.Printf(format+"\n", args...) }
@@ -64,8 +65,8 @@
 			fmt.Fprintf(os.Stderr, "seed %d: %v\n", seed, err)
 			return exitFailed
 		}
-		fmt.Printf("seed %d: %d findings; %d faults, %d jobs: %d accepted, %d refused, %d cancelled; %d task starts\n",
-			seed, len(r.Findings), r.Faults, r.Jobs, r.Accepted, r.Refused, r.Cancelled, r.Starts)
+		fmt.Printf("seed %d: %d findings; %d faults, %d jobs: %d accepted, %d refused, %d cancelled; %d task starts, %d restarts\n",
+			seed, len(r.Findings), r.Faults, r.Jobs, r.Accepted, r.Refused, r.Cancelled, r.Starts, r.Restarts)
 		for _, f := range r.Findings {
 			fmt.Println("  ", f)
 			code = exitFindings
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -36,6 +36,8 @@
 	Token      int64
 	Checkpoint string
 	At         time.Time
+	CPUMilli   int64
+	Ended      time.Time // zero while it runs
 }
 
 // Cluster is the state that all workers share. It records the starts and ends of
@@ -98,9 +100,15 @@
 	c.running[st.Task][st.Worker] = true
 }
 
-func (c *Cluster) ended(task, worker string, done bool) {
+func (c *Cluster) ended(task string, attempt int, worker string, done bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for n := len(c.starts) - 1; n >= 0; n-- {
+		if s := &c.starts[n]; s.Task == task && s.Attempt == attempt && s.Worker == worker {
+			s.Ended = time.Now()
+			break
+		}
+	}
 	delete(c.running[task], worker)
 	if done {
 		c.done[task]++
@@ -202,7 +210,7 @@
 	defer w.mu.Unlock()
 	w.dead = true
 	for _, attempt := range w.active {
-		w.cluster.ended(attempt.task, w.ID, false)
+		w.cluster.ended(attempt.task, attempt.attempt, w.ID, false)
 	}
 	clear(w.active)
 	for _, e := range w.ended {
@@ -315,7 +323,7 @@
 	w.lastEnd++
 	w.ended = append(w.ended, end{w.lastEnd, a.task, a.attempt, outcome})
 	w.highestEnded[a.task] = max(w.highestEnded[a.task], a.attempt)
-	w.cluster.ended(a.task, w.ID, outcome == "done")
+	w.cluster.ended(a.task, a.attempt, w.ID, outcome == "done")
 	close(w.endSignal)
 	w.endSignal = make(chan struct{})
 }
@@ -340,7 +348,7 @@
 	default:
 		w.extendLease(cmd.DeadlineMs)
 		w.active[key] = &activeAttempt{task: cmd.Task, attempt: cmd.RunId, started: time.Now(), behaviour: w.slowed(w.cluster.BehaviourOf(cmd.Task, cmd.RunId)), throttle: 100}
-		w.cluster.started(TaskStart{cmd.Task, cmd.RunId, w.ID, cmd.FencingToken, cmd.Checkpoint, time.Now()})
+		w.cluster.started(TaskStart{cmd.Task, cmd.RunId, w.ID, cmd.FencingToken, cmd.Checkpoint, time.Now(), w.active[key].behaviour.CPUMilli, time.Time{}})
 		if r.Context().Value(delayedKey{}) == nil {
 			w.checkCapacity(key)
 		}
@@ -377,6 +385,13 @@
 	writeJSON(rw, http.StatusOK, map[string]any{"ClockMs": w.clock().Milliseconds()})
 }
 
+// ActiveAttempts returns the number of attempts that run on the worker.
+func (w *Worker) ActiveAttempts() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.active)
+}
+
 // pollInterval is how often a waiting hold command checks for ended attempts.
 const pollInterval = 5 * time.Millisecond
 
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -24,6 +25,8 @@
 	drainTimeout = 90 * time.Second
 	// crashingJobs: one job of so many has a task that crashes its workers.
 	crashingJobs = 12
+	// longLivedTasks and longLivedCPUMilli let a worker run many long-lived tasks.
+	longLivedTasks, longLivedCPUMilli = 4, 100
 	// minCrashes is the number of workers that must have crashed under a task before
 	// its job may be shown as failed.
 	minCrashes = 2
@@ -82,7 +85,15 @@
 	return resp.StatusCode, answer{}
 }
 
-func (c *caller) anyInstance() int { return c.rng.IntN(len(c.deployment.processes)) }
+// anyInstance returns a random instance that is not lost, as the platform leads callers
+// away from those.
+func (c *caller) anyInstance() int {
+	n := c.rng.IntN(len(c.deployment.processes))
+	for c.deployment.processes[n].isAway() {
+		n = (n + 1) % len(c.deployment.processes)
+	}
+	return n
+}
 
 // sleepAbout sleeps for an exponentially distributed time.
 func (c *caller) sleepAbout(mean time.Duration) {
@@ -94,7 +105,7 @@
 func (c *caller) run(ctx context.Context) {
 	defer c.client.CloseIdleConnections()
 	for n := 0; ctx.Err() == nil; n++ {
-		j := c.newJob(n)
+		j := c.newJob(n, false)
 		c.submit(j)
 		if c.rng.Float64() < 0.3 && !j.acceptedAt().IsZero() {
 			// Real callers sometimes repeat a request seconds after its response.
@@ -111,8 +122,8 @@
 	}
 }
 
-func (c *caller) newJob(n int) *trackedJob {
-	j := &trackedJob{id: fmt.Sprintf("%04x%012x", c.number, n+1), longRunning: c.rng.Float64() < 0.1}
+func (c *caller) newJob(n int, longLived bool) *trackedJob {
+	j := &trackedJob{id: fmt.Sprintf("%04x%012x", c.number, n+1), cpu: taskCPUMilli, longRunning: c.rng.Float64() < 0.1 || longLived}
 	steps := 1 + c.rng.IntN(3)
 	if j.longRunning {
 		steps = 1
@@ -120,7 +131,12 @@
 	for range steps {
 		j.tasks = append(j.tasks, 1+c.rng.IntN(4))
 	}
-	j.crashing = n%crashingJobs == crashingJobs-1
+	// Crashed workers would leave no calm time in a run with losses alone.
+	onlyLosses := len(c.deployment.opts.Only) > 0 && !slices.ContainsFunc(c.deployment.opts.Only, func(k Kind) bool { return !k.isLoss() })
+	if longLived {
+		j.tasks, j.cpu = []int{longLivedTasks}, longLivedCPUMilli
+	}
+	j.crashing = n%crashingJobs == crashingJobs-1 && !longLived && !onlyLosses
 	c.deployment.reportMu.Lock()
 	defer c.deployment.reportMu.Unlock()
 	c.deployment.jobs[j.id] = j
@@ -130,7 +146,7 @@
 func (j *trackedJob) body() map[string]any {
 	var steps []map[string]any
 	for n, tasks := range j.tasks {
-		step := map[string]any{"Count": tasks, "Cpu": taskCPUMilli, "MemMb": taskMemoryMiB, "EstimateMs": 200}
+		step := map[string]any{"Count": tasks, "Cpu": j.cpu, "MemMb": taskMemoryMiB, "EstimateMs": 200}
 		if j.longRunning {
 			step["LongRunning"] = true
 		}
@@ -184,7 +200,7 @@
 		return
 	}
 	j.mu.Lock()
-	j.cancelSent = true
+	j.cancelSent, j.cancelSentAt = true, time.Now()
 	j.mu.Unlock()
 	for end := time.Now().Add(drainTimeout); time.Now().Before(end); c.sleepAbout(150 * time.Millisecond) {
 		status, _ := c.call(c.anyInstance(), http.MethodDelete, j.id, nil)
--- a/internal/soak/crash.go
+++ b/internal/soak/crash.go
@@ -43,6 +43,7 @@
 		if current != worker {
 			return
 		}
+		defer d.disturb("%s crashed", worker.ID)()
 		d.setProxyMode(proxy, loopback.Refuse)
 		worker.Close()
 		time.Sleep(down)
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"hash/fnv"
-	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -50,11 +49,16 @@
 	crashes        sync.WaitGroup // workers that are down or come back
 	// evacuations are all evacuations so far, the current ones without an end.
 	evacuations []*evacuation
+
+	began        time.Time     // of the injection of faults; guarded by reportMu
+	disturbances []disturbance // guarded by reportMu
+	restarts     int           // of long-running tasks
 }
 
 // emulatedWorker is an emulated worker behind a proxy.
 type emulatedWorker struct {
-	*emulator.Worker
+	*emulator.Worker // nil while it is lost
+
 	proxy   *loopback.Proxy
 	domain  string // failure domain
 	leaving bool
@@ -79,10 +83,13 @@
 	cancelSent  bool      // a cancellation was sent
 	completed   bool      // a caller saw the state "completed"
 	lost        bool      // a caller was told too late that it is not found
+
+	cancelSentAt time.Time
+	cpu          int64 // of a task
 }
 
 func newDeployment(o Options) (*deployment, error) {
-	d := &deployment{opts: o, store: emulator.NewStore(), jobs: make(map[string]*trackedJob)}
+	d := &deployment{opts: o, began: time.Now(), store: emulator.NewStore(), jobs: make(map[string]*trackedJob)}
 	d.cluster = emulator.NewCluster(d.checkStart)
 	d.publishConfig()
 	for n := range o.Workers {
@@ -96,7 +103,7 @@
 		if n < 2 {
 			share = 0.8
 		}
-		p, err := newProcess(o, n, share, d.store)
+		p, err := newProcess(d, n, share)
 		if err != nil {
 			return d, err
 		}
@@ -111,8 +118,10 @@
 		p.close()
 	}
 	for _, w := range d.workers {
-		if w.Worker != nil {
+		if w.proxy != nil {
 			w.proxy.Close()
+		}
+		if w.Worker != nil {
 			w.Close()
 		}
 	}
@@ -166,10 +175,13 @@
 	w := d.workers[n]
 	old, oldProxy := w.Worker, w.proxy
 	d.mu.Unlock()
+	defer d.disturb("%s started", id)()
+	if oldProxy != nil {
+		oldProxy.Close()
+	}
 	if old != nil {
 		// Closed without the lock: Close waits for commands in flight, and each
 		// start command calls checkStart, which acquires the lock.
-		oldProxy.Close()
 		old.Close()
 	}
 	d.mu.Lock()
@@ -180,8 +192,12 @@
 	return nil
 }
 
-// publishWorker writes the worker's record to the store. The caller holds d.mu.
+// publishWorker writes the worker's record to the store unless it is lost. The
+// caller holds d.mu.
 func (d *deployment) publishWorker(w *emulatedWorker, state string) {
+	if w.Worker == nil {
+		return
+	}
 	w.SetCapacity(w.cpu, workerMemoryMiB)
 	record := w.StoreRecord(pool, w.domain, "r1-1", w.cpu, workerMemoryMiB, state)
 	record["Address"] = w.proxy.Address
@@ -225,7 +241,7 @@
 	runTime := time.Duration(50+h.Sum32()%500) * time.Millisecond
 	b := emulator.Behaviour{
 		RunTime: runTime, LongRunning: j.longRunning, TailLatencyMS: 5, Fail: !j.longRunning && h.Sum32()%50 == 0 && number == 1,
-		CPUMilli: taskCPUMilli, MemoryMiB: taskMemoryMiB,
+		CPUMilli: j.cpu, MemoryMiB: taskMemoryMiB,
 	}
 	if j.crashing && attempt.Step == 0 && attempt.Task == 0 {
 		b.Fail, b.CrashAfter = false, time.Duration(5+h.Sum32()%40)*time.Millisecond
@@ -239,6 +255,9 @@
 	if f.Kind == DomainEvacuated {
 		return d.evacuateDomain(f)
 	}
+	if f.Kind.isLoss() {
+		return d.lose(f)
+	}
 	if f.Kind.targetsWorkers() {
 		var ends []func()
 		for n := range d.workers {
@@ -347,6 +366,14 @@
 	w := d.workers[n]
 	worker, proxy := w.Worker, w.proxy
 	d.mu.Unlock()
+	if worker == nil {
+		return func() {}
+	}
+	forward := func() {
+		if !d.isLost(n) {
+			d.setProxyMode(proxy, loopback.Forward)
+		}
+	}
 	injectCalls := func(fault emulator.CommandFault) func() {
 		calls := 0
 		var mu sync.Mutex
@@ -363,10 +390,10 @@
 	switch f.Kind {
 	case WorkerStalled:
 		d.setProxyMode(proxy, loopback.Stall)
-		return func() { d.setProxyMode(proxy, loopback.Forward) }
+		return forward
 	case WorkerStalledOneWay:
 		d.setProxyMode(proxy, loopback.StallToClient)
-		return func() { d.setProxyMode(proxy, loopback.Forward) }
+		return forward
 	case WorkerRestart:
 		if err := d.startWorker(n); err != nil {
 			d.addFinding("soak: start worker: %v", err)
@@ -379,6 +406,9 @@
 		}
 		d.mu.Unlock()
 		return func() {
+			if d.isLost(n) {
+				return
+			}
 			if err := d.startWorker(n); err != nil {
 				d.addFinding("soak: start worker: %v", err)
 			}
@@ -398,22 +428,3 @@
 	}
 	return func() {}
 }
-
-// waitReady waits until all processes are ready. It reports false if they are not
-// within the limit.
-func (d *deployment) waitReady(limit time.Duration) bool {
-	client := &http.Client{Timeout: time.Second}
-	defer client.CloseIdleConnections()
-	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		ready := 0
-		for _, p := range d.processes {
-			if p.isReady(client) {
-				ready++
-			}
-		}
-		if ready == len(d.processes) {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -1,8 +1,8 @@
 // Package soak runs real scheduler processes against the emulated platform and
 // injects faults from outside: signals; connections that stall, stall in one
 // direction, are slow or are reset; a store that is unavailable or loses responses;
-// workers that restart, leave or execute commands late; workers and a store that send a
-// response twice. It checks what callers and workers see against the guarantees of the
+// workers that restart, leave or execute commands late; workers and owners that are lost
+// in series; workers and a store that send a response twice. It checks what callers and workers see against the guarantees of the
 // system. A seed always yields the same faults.
 package soak
 
@@ -17,8 +17,8 @@
 type Kind string
 
 // Kinds of faults. The Target of a fault is the number of a worker for the kinds
-// of which targetsWorkers is true, that of a failure domain for DomainEvacuated, and the
-// number of an instance for the others.
+// of which targetsWorkers is true, that of a failure domain for DomainEvacuated, unused
+// for lossKinds, and the number of an instance for the others.
 const (
 	Kill                 Kind = "kill"
 	KillAll              Kind = "kill all"
@@ -47,6 +47,11 @@
 	DomainEvacuated      Kind = "domain evacuated"
 	WorkerRepeats        Kind = "worker repeats responses"
 	StoreRepeats         Kind = "store repeats responses"
+	WorkerLostResets     Kind = "worker lost resets"  // its connections are reset
+	WorkerLostDark       Kind = "worker lost dark"    // its connections hang
+	WorkerLostRefuses    Kind = "worker lost refuses" // its connections are refused
+	OwnerLost            Kind = "owner lost"
+	OwnerLostDark        Kind = "owner lost dark" // its connections hang
 )
 
 var kinds = []Kind{
@@ -63,7 +68,8 @@
 
 // Fault is one fault of a plan.
 type Fault struct {
-	// At is the time of its start since the start of the plan, For its duration.
+	// At is the time of its start since the start of the plan, For its duration. A loss
+	// without one lasts until the end of the run.
 	At     time.Duration
 	For    time.Duration
 	Kind   Kind
@@ -88,6 +94,9 @@
 	Instances int
 	Workers   int
 	Callers   int
+	// LongLived is the number of long-running jobs that run until the end. Without them
+	// nothing is lost for long.
+	LongLived int
 	// Only leaves out all other kinds of faults; none means all kinds.
 	Only []Kind
 	// Binary is the scheduler program.
@@ -140,6 +149,9 @@
 	faults = append(faults, planApart(o, 2, workerKinds)...)
 	faults = append(faults, planApart(o, 4, repeatKinds)...)
 	faults = append(faults, planEvacuations(o)...)
+	if o.LongLived > 0 {
+		faults = append(faults, planLosses(o)...)
+	}
 	if len(o.Only) > 0 {
 		faults = slices.DeleteFunc(faults, func(f Fault) bool { return !slices.Contains(o.Only, f.Kind) })
 	}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -29,10 +29,14 @@
 	callerProxy   *loopback.Proxy
 	output        *os.File
 
+	metricsAddress string
+	disturb        func(format string, args ...any) (end func()) // see deployment
+
 	mu              sync.Mutex
 	cmd             *exec.Cmd
 	frozen          bool
 	closed          bool
+	away            bool    // lost and not restarted
 	unexpectedExits []error // exits that the soak did not cause
 	stopRequested   bool    // the soak caused the exit of the current process
 	done            chan struct{}
@@ -41,13 +45,15 @@
 // restartDelay is the time between the exit of a process and its restart.
 const restartDelay = 200 * time.Millisecond
 
-func newProcess(o Options, number int, cpuShare float64, store *emulator.Store) (*process, error) {
+func newProcess(d *deployment, number int, cpuShare float64) (*process, error) {
+	o := d.opts
 	name := fmt.Sprintf("inst-%d", number)
 	addresses, err := loopback.ReserveAddresses(4)
 	if err != nil {
 		return nil, err
 	}
-	p := &process{name: name, settings: filepath.Join(o.Dir, name+".json"), callerAddress: addresses[0], readyAddress: addresses[1], endpoint: store.Endpoint(), done: make(chan struct{})}
+	p := &process{name: name, settings: filepath.Join(o.Dir, name+".json"), callerAddress: addresses[0], readyAddress: addresses[1],
+		metricsAddress: addresses[2], disturb: d.disturb, endpoint: d.store.Endpoint(), done: make(chan struct{})}
 	if p.storeProxy, err = loopback.New(p.endpoint.Address(), nil); err != nil {
 		return nil, err
 	}
@@ -92,6 +98,7 @@
 		err := cmd.Start()
 		p.cmd, p.frozen, p.stopRequested = cmd, false, false
 		p.mu.Unlock()
+		p.disturb("%s started", p.name)()
 		if err == nil {
 			err = cmd.Wait()
 		}
@@ -101,16 +108,18 @@
 		}
 		p.cmd = nil
 		p.mu.Unlock()
-		time.Sleep(restartDelay)
+		p.disturb("%s ended", p.name)()
+		for time.Sleep(restartDelay); p.isAway(); time.Sleep(restartDelay / 10) {
+		}
 	}
 }
 
-// signal sends a signal to the running process. terminates states whether the
-// process is expected to exit because of it.
+// signal sends a signal to the running process unless it is lost. terminates states
+// whether the process is expected to exit because of it.
 func (p *process) signal(sig syscall.Signal, terminates bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.cmd == nil || p.cmd.Process == nil {
+	if p.cmd == nil || p.cmd.Process == nil || p.away {
 		return
 	}
 	if terminates {
@@ -128,7 +137,7 @@
 // close kills the process without a restart and waits for its exit.
 func (p *process) close() {
 	p.mu.Lock()
-	p.closed = true
+	p.closed, p.away = true, false
 	p.mu.Unlock()
 	p.signal(syscall.SIGKILL, true)
 	<-p.done
@@ -146,3 +155,22 @@
 	defer func() { _ = resp.Body.Close() }()
 	return resp.StatusCode == http.StatusOK
 }
+
+// waitReady waits until all processes that are not lost are ready. It reports false
+// if they are not within the limit.
+func (d *deployment) waitReady(limit time.Duration) bool {
+	client := &http.Client{Timeout: time.Second}
+	defer client.CloseIdleConnections()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		ready := 0
+		for _, p := range d.processes {
+			if p.isAway() || p.isReady(client) {
+				ready++
+			}
+		}
+		if ready == len(d.processes) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -20,6 +20,8 @@
 	Starts    int
 	// Evacuations counts those that lasted longer than their bound.
 	Evacuations int
+	// Restarts counts the runs of long-running tasks after their first.
+	Restarts int
 	// PendingAnswers counts the numbers of pending jobs that were checked.
 	PendingAnswers int
 }
@@ -58,6 +60,12 @@
 		callers[n] = newCaller(d, n)
 		group.Go(func() { callers[n].run(ctx) })
 	}
+	group.Go(func() {
+		for n := range o.LongLived {
+			c := newCaller(d, o.Callers)
+			c.submit(c.newJob(n, true))
+		}
+	})
 	d.injectFaults(plan)
 	stop()
 	group.Wait()
@@ -65,6 +73,7 @@
 		d.addFinding("the processes are not ready again %v after the last fault", startTimeout)
 	}
 	time.Sleep(settleTime)
+	d.checkRestarts()
 	d.waitForJobs(callers[0])
 	return d.result(len(plan)), nil
 }
@@ -73,14 +82,25 @@
 // Faults overlap; each ends after its own duration.
 func (d *deployment) injectFaults(plan []Fault) {
 	started := time.Now()
+	d.reportMu.Lock()
+	d.began = started
+	d.reportMu.Unlock()
 	var ends sync.WaitGroup
 	for _, f := range plan {
 		time.Sleep(time.Until(started.Add(f.At)))
-		d.opts.Print("%s", f)
+		ended := d.disturb("%s", f)
 		end := d.inject(f)
+		if f.Kind.isLoss() { // only its begin and its end, which lose records, disturb
+			ended()
+			ended = func() {}
+		}
+		if f.For == 0 {
+			continue
+		}
 		ends.Go(func() {
 			time.Sleep(f.For)
 			end()
+			ended()
 		})
 	}
 	time.Sleep(time.Until(started.Add(d.opts.Duration)))
@@ -108,6 +128,7 @@
 func (d *deployment) result(faults int) Result {
 	r := Result{Findings: append(d.findings, d.cluster.Violations()...), Faults: faults, Jobs: len(d.jobs)}
 	r.Evacuations, r.PendingAnswers = d.longEvacuations(), int(d.pendingAnswers.Load())
+	r.Restarts = d.restarts
 	refused := make(map[string]bool)
 	for id, j := range d.jobs {
 		switch {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -40,6 +40,14 @@
 	playSeed(t, Options{Seed: 20001, Binary: binary, Only: repeatKinds})
 }
 
+// Guards against long-running tasks that run again too late, or in two places, when their
+// workers and then the owner are lost.
+func TestSoakWithLostWorkersAndOwners(t *testing.T) {
+	binary := buildScheduler(t)
+	r := playSeed(t, Options{Seed: 30054, Binary: binary, LongLived: 6, Only: lossKinds, Print: t.Logf})
+	qt.Check(t, r.Restarts > 0, qt.IsTrue)
+}
+
 func buildScheduler(t *testing.T) string {
 	binary := filepath.Join(t.TempDir(), "gooseberry-scheduler")
 	out, err := exec.Command("go", "build", "-o", binary, "gooseberryreel/cmd/gooseberry-scheduler").CombinedOutput()
@@ -48,7 +56,7 @@
 }
 
 // playSeed requires a run without findings.
-func playSeed(t *testing.T, o Options) {
+func playSeed(t *testing.T, o Options) Result {
 	o.Duration, o.Instances, o.Workers, o.Callers, o.Dir = 15*time.Second, 4, 6, 5, t.TempDir()
 	r, err := Run(o)
 	qt.Assert(t, err, qt.IsNil)
@@ -61,4 +69,5 @@
 			t.Logf("inst-%d (%v):\n%s", n, err, log)
 		}
 	}
+	return r
 }
