ingress: open connections have a limit on each listener

What callers saw: nothing limited the connections to the addresses of a process.

Cause: the listeners accepted whatever came, and a connection that sent nothing, or never ended its headers, kept its place for as long as the timeouts allowed. Nothing limited the time of a response that nobody reads.

Change: each listener has a limit that follows from the new setting max_fds and from memory_mib. At the limit, the connection without a request in work that has made no progress for longest is closed in favour of the new one; if all have requests in work, the new one is closed. A response must be written within 45 s of the headers of its request. Closed connections are counted by listener and reason, and logged in one line every 10 s.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -36,9 +36,6 @@
 	peerDialTimeout    = 300 * time.Millisecond
 	// maxPeerMessageBytes limits a message between instances.
 	maxPeerMessageBytes = 1 << 20
-	// readHeaderTimeout limits the time in which a caller sends the headers.
-	readHeaderTimeout = 3 * time.Second
-	idleTimeout       = 60 * time.Second
 )
 
 // Topics of the store.
@@ -87,6 +84,7 @@
 	storeContact storeContact
 	storeLatency storeLatency
 	limits       recordLimits
+	ingress      *ingressLimits
 	stopping     atomic.Bool
 	faulty       atomic.Bool // see fail
 	exit         func()
@@ -125,14 +123,16 @@
 	i.requests = newOperatorRequests()
 	i.admission = newAdmissionControl(i)
 	i.pool = peer.NewPool(peer.Options{MaxConnections: maxPeerConnections, DialTimeout: peerDialTimeout, MaxMessageBytes: maxPeerMessageBytes})
+	i.ingress = newIngressLimits(s, i.registry, i.log)
 	for _, l := range []struct {
 		to      *net.Listener
+		name    string
 		address string
 	}{
-		{&i.listeners.api, s.GetHttpAddress()}, {&i.listeners.ready, s.GetReadyAddress()},
-		{&i.listeners.metrics, s.GetMetricsAddress()}, {&i.listeners.peer, s.GetPeerAddress()},
+		{&i.listeners.api, callersListener, s.GetHttpAddress()}, {&i.listeners.ready, readinessListener, s.GetReadyAddress()},
+		{&i.listeners.metrics, metricsListener, s.GetMetricsAddress()}, {&i.listeners.peer, peersListener, s.GetPeerAddress()},
 	} {
-		listener, err := net.Listen("tcp", l.address)
+		listener, err := i.ingress.listen(l.name, l.address)
 		if err != nil {
 			i.closeListeners()
 			return nil, errors.Wrapf(err, "listen on %s", l.address)
@@ -167,11 +167,11 @@
 	defer endTerm()
 	electionOver := make(chan struct{})
 	group, workCtx := errgroup.WithContext(workCtx)
-	api := i.newServer(platform.NewHandler(i))
-	ready := i.newServer(http.HandlerFunc(i.serveReady))
+	api := i.ingress.newServer(platform.NewHandler(i))
+	ready := i.ingress.newServer(http.HandlerFunc(i.serveReady))
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("/metrics", promhttp.HandlerFor(i.registry, promhttp.HandlerOpts{}))
-	metricsServer := i.newServer(metricsMux)
+	metricsServer := i.ingress.newServer(metricsMux)
 	serve := func(s *http.Server, l net.Listener) func() error {
 		return func() error {
 			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -212,10 +212,6 @@
 	return err
 }
 
-func (i *Instance) newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: debugLogger(i.log)}
-}
-
 // Config implements platform.Jobs.
 func (i *Instance) Config() *scheduler.Config { return i.config.Load() }
 
--- /dev/null
+++ b/internal/daemon/ingress.go
@@ -0,0 +1,127 @@
+package daemon
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
+
+	"gooseberryreel/internal/ingress"
+	"gooseberryreel/internal/pb"
+)
+
+const (
+	// readHeaderTimeout limits the time in which a caller sends the headers.
+	readHeaderTimeout = 3 * time.Second
+	idleTimeout       = 60 * time.Second
+	// writeTimeout limits the time from the headers of a request to its whole response.
+	// It is longer than a body may take.
+	writeTimeout = 45 * time.Second
+	// maxProbeConnections limits the connections for the readiness check, and those for
+	// metrics.
+	maxProbeConnections = 64
+
+	// defaultMaxFDs applies if the settings don't set the limit.
+	defaultMaxFDs = 4096
+	// reservedFDs are the descriptors that are not used for sockets.
+	reservedFDs = 200
+
+	// connectionMemoryShare is the part of the machine's memory for the connections of
+	// callers.
+	connectionMemoryShare = 1.0 / 4
+	// connectionBytes is the memory of a connection with a small request in work.
+	connectionBytes = 48 << 10
+	// minConnections is the smallest limit of connections, whatever the memory.
+	minConnections = 64
+	// refusalSummaryInterval is the shortest time between two log lines about closed
+	// connections.
+	refusalSummaryInterval = 10 * time.Second
+)
+
+// Names of the listeners in metrics and logs.
+const (
+	callersListener   = "callers"
+	readinessListener = "readiness"
+	metricsListener   = "metrics"
+	peersListener     = "peers"
+)
+
+// ingressLimits are the limits for what others send to an instance.
+type ingressLimits struct {
+	maxConnections map[string]int // by name of the listener
+	log            *logrus.Entry
+
+	evicted *prometheus.CounterVec
+
+	mu       sync.Mutex
+	notShown map[string]int // refusals since the newest log line
+	summary  rate.Sometimes
+}
+
+func newIngressLimits(s *pb.SchedulerSettings, r prometheus.Registerer, log *logrus.Entry) *ingressLimits {
+	memory := float64(s.GetMemoryMib() << 20)
+	fds := int(s.GetMaxFds())
+	if fds <= 0 {
+		fds = defaultMaxFDs
+	}
+	sockets := max(fds-reservedFDs, 0)
+	l := &ingressLimits{
+		maxConnections: map[string]int{
+			callersListener:   max(min(sockets/2, int(memory*connectionMemoryShare)/connectionBytes), minConnections),
+			peersListener:     max(sockets/4, minConnections),
+			readinessListener: maxProbeConnections,
+			metricsListener:   maxProbeConnections,
+		},
+		log: log, notShown: make(map[string]int),
+		summary: rate.Sometimes{Interval: refusalSummaryInterval},
+		evicted: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "ingress_evicted_connections_total", Help: "Connections closed at the limit of open connections by listener and reason.",
+		}, []string{"listener", "reason"}),
+	}
+	r.MustRegister(l.evicted)
+	return l
+}
+
+// listen opens a listener that limits its connections.
+func (l *ingressLimits) listen(name, address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := listener.(*net.TCPListener)
+	if !ok {
+		_ = listener.Close()
+		return nil, errors.Errorf("%s is no TCP address", address)
+	}
+	return ingress.NewListener(tcp, ingress.ListenerOptions{
+		MaxConnections: l.maxConnections[name],
+		Evicted: func(reason string) {
+			l.evicted.WithLabelValues(name, reason).Inc()
+			l.summarize(name + " connection: " + reason)
+		},
+	}), nil
+}
+
+// newServer returns a server for a listener of listen.
+func (l *ingressLimits) newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: ingress.Handler(h), ConnContext: ingress.ConnContext, ReadHeaderTimeout: readHeaderTimeout, WriteTimeout: writeTimeout,
+		IdleTimeout: idleTimeout, ErrorLog: debugLogger(l.log),
+	}
+}
+
+// summarize counts a refusal and logs the counts from time to time.
+func (l *ingressLimits) summarize(what string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.notShown[what]++
+	l.summary.Do(func() {
+		l.log.WithFields(logrus.Fields{"event": "load from outside limited", "refused": l.notShown}).Warn("call")
+		clear(l.notShown)
+	})
+}
--- /dev/null
+++ b/internal/ingress/conn.go
@@ -0,0 +1,86 @@
+package ingress
+
+import (
+	"container/list"
+	"context"
+	"net"
+	"net/http"
+)
+
+// conn is a connection of a Listener.
+type conn struct {
+	*net.TCPConn
+	listener *Listener
+
+	// Guarded by listener.mu.
+	element *list.Element // in listener.waiting, nil while a request is in work
+	removed bool
+}
+
+type connKey struct{}
+
+// ConnContext is the ConnContext of an http.Server that serves a Listener with Handler.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// connOf returns the connection of a request, nil if it did not come through a Listener.
+func connOf(ctx context.Context) *conn {
+	c, _ := ctx.Value(connKey{}).(*conn)
+	return c
+}
+
+// Handler returns a handler that protects connections from eviction while next serves a
+// request.
+func Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := connOf(r.Context())
+		c.protect()
+		defer c.progress()
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Write implements net.Conn. A client that does not read its response keeps no other one
+// out.
+func (c *conn) Write(p []byte) (int, error) {
+	c.progress()
+	return c.TCPConn.Write(p)
+}
+
+// protect excludes the connection from eviction until its next progress.
+func (c *conn) protect() {
+	if c == nil {
+		return
+	}
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	if c.element != nil {
+		c.listener.waiting.Remove(c.element)
+		c.element = nil
+	}
+}
+
+// progress records that the connection has made progress, and allows its eviction.
+func (c *conn) progress() {
+	if c == nil {
+		return
+	}
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	switch {
+	case c.removed:
+	case c.element != nil:
+		c.listener.waiting.MoveToBack(c.element)
+	default:
+		c.element = c.listener.waiting.PushBack(c)
+	}
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.listener.mu.Lock()
+	c.listener.removeLocked(c)
+	c.listener.mu.Unlock()
+	return c.TCPConn.Close()
+}
--- a/internal/settings/rules.go
+++ b/internal/settings/rules.go
@@ -115,6 +115,7 @@
 	"SchedulerSettings.cpu_share":       requiredNumber(0, 1024),
 	"SchedulerSettings.memory_mib":      requiredNumber(1, maxCount),
 	"SchedulerSettings.advice_address":  {checkText: checkOptionalAddress},
+	"SchedulerSettings.max_fds":         optionalNumber(4096, 256, maxCount),
 
 	"RelaySettings.owner_workers_per_core": optionalNumber(300, 1, maxCount),
 	"RelaySettings.relay_workers_per_core": optionalNumber(150, 1, maxCount),
