ingress: the bodies of requests have a budget in bytes and a time

A body that stopped was waited for without an end, also before the response to a request for an unknown queue.

Cause: memory was spent before a limit was checked. Each body was read whole into a buffer, nothing bounded their sum, and the caller's deadline did not end a read.

Change: the bodies in work share an eighth of memory_mib. A body is charged for what arrives beyond its first 8 KiB, with what is decoded from it, until its request has been served. If the budget is exhausted, the unfinished body that has made no progress (16 KiB) for longest is refused. A body that has arrived whole is never refused, and small ones are not charged at all. A body ends at its caller's deadline, after 30 s at the latest.

A refusal gets 503 with Retry-After if the owner has answered that the job is not stored (20 such queries a second at most), otherwise 408, which promises nothing. The response no longer waits for the rest of the body: net/http would read it before and after the response, or reset the connection under it. The connection is half-closed instead and read for up to 0.5 s.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -167,7 +167,7 @@
 	defer endTerm()
 	electionOver := make(chan struct{})
 	group, workCtx := errgroup.WithContext(workCtx)
-	api := i.ingress.newServer(platform.NewHandler(i))
+	api := i.ingress.newServer(platform.NewHandlerWithBudget(i, i.ingress.bodies))
 	ready := i.ingress.newServer(http.HandlerFunc(i.serveReady))
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("/metrics", promhttp.HandlerFor(i.registry, promhttp.HandlerOpts{}))
--- a/internal/daemon/ingress.go
+++ b/internal/daemon/ingress.go
@@ -31,6 +31,10 @@
 	// reservedFDs are the descriptors that are not used for sockets.
 	reservedFDs = 200
 
+	// bodyMemoryShare is the part of the machine's memory for the bodies of requests.
+	bodyMemoryShare = 1.0 / 8
+	// minBodies is how many of the largest bodies, decoded, have room in any case.
+	minBodies = 8
 	// connectionMemoryShare is the part of the machine's memory for the connections of
 	// callers.
 	connectionMemoryShare = 1.0 / 4
@@ -38,8 +42,8 @@
 	connectionBytes = 48 << 10
 	// minConnections is the smallest limit of connections, whatever the memory.
 	minConnections = 64
-	// refusalSummaryInterval is the shortest time between two log lines about closed
-	// connections.
+	// refusalSummaryInterval is the shortest time between two log lines about refused
+	// bodies and closed connections.
 	refusalSummaryInterval = 10 * time.Second
 )
 
@@ -53,9 +57,11 @@
 
 // ingressLimits are the limits for what others send to an instance.
 type ingressLimits struct {
+	bodies         *ingress.Budget
 	maxConnections map[string]int // by name of the listener
 	log            *logrus.Entry
 
+	refused *prometheus.CounterVec
 	evicted *prometheus.CounterVec
 
 	mu       sync.Mutex
@@ -79,11 +85,21 @@
 		},
 		log: log, notShown: make(map[string]int),
 		summary: rate.Sometimes{Interval: refusalSummaryInterval},
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "ingress_refused_bodies_total", Help: "Bodies of requests that were not read to their end by reason.",
+		}, []string{"reason"}),
 		evicted: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "ingress_evicted_connections_total", Help: "Connections closed at the limit of open connections by listener and reason.",
 		}, []string{"listener", "reason"}),
 	}
-	r.MustRegister(l.evicted)
+	largest := newRecordLimits(s.GetStore()).record
+	l.bodies = ingress.NewBudget(max(int64(memory*bodyMemoryShare), minBodies*ingress.MemoryOf(int64(largest))), func(reason string) {
+		l.refused.WithLabelValues(reason).Inc()
+		l.summarize("body: " + reason)
+	})
+	r.MustRegister(l.refused, l.evicted, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "ingress_body_bytes", Help: "Memory of the bodies of requests in work.",
+	}, func() float64 { return float64(l.bodies.Used()) }))
 	return l
 }
 
@@ -121,7 +137,7 @@
 	defer l.mu.Unlock()
 	l.notShown[what]++
 	l.summary.Do(func() {
-		l.log.WithFields(logrus.Fields{"event": "load from outside limited", "refused": l.notShown}).Warn("call")
+		l.log.WithFields(logrus.Fields{"event": "load from outside limited", "refused": l.notShown, "body_bytes": l.bodies.Used()}).Warn("call")
 		clear(l.notShown)
 	})
 }
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -5,12 +5,22 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// lingerTime limits how long a graceful close waits for the client.
+	lingerTime = 500 * time.Millisecond
+	// lingerBytes limits what a graceful close reads.
+	lingerBytes = 1 << 20
 )
 
 // conn is a connection of a Listener.
 type conn struct {
 	*net.TCPConn
 	listener *Listener
+	graceful atomic.Bool
 
 	// Guarded by listener.mu.
 	element *list.Element // in listener.waiting, nil while a request is in work
@@ -31,11 +41,19 @@
 }
 
 // Handler returns a handler that protects connections from eviction while next serves a
-// request.
+// request without a body. A request with a body is protected once it has been read.
 func Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connOf(r.Context())
-		c.protect()
+		if c == nil {
+			next.ServeHTTP(w, r)
+			return
+		}
+		if r.Body == nil || r.Body == http.NoBody {
+			c.protect()
+		} else {
+			c.progress()
+		}
 		defer c.progress()
 		next.ServeHTTP(w, r)
 	})
@@ -77,10 +95,36 @@
 	}
 }
 
+// closeGracefully makes Close wait until the client has read the response.
+func (c *conn) closeGracefully() {
+	if c != nil {
+		c.graceful.Store(true)
+	}
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
+	if c.graceful.Swap(false) {
+		c.linger()
+	}
 	c.listener.mu.Lock()
 	c.listener.removeLocked(c)
 	c.listener.mu.Unlock()
 	return c.TCPConn.Close()
 }
+
+// linger ends the response and reads what the client still sends. A close with unread
+// data would reset the connection, and the client could lose the response.
+func (c *conn) linger() {
+	if c.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+		return
+	}
+	buffer := make([]byte, 4<<10)
+	for left := lingerBytes; left > 0; {
+		n, err := c.TCPConn.Read(buffer)
+		if err != nil {
+			return
+		}
+		left -= n
+	}
+}
--- a/internal/ingress/connections_test.go
+++ b/internal/ingress/connections_test.go
@@ -12,14 +12,16 @@
 // against connections that are still counted after their end.
 func TestSilentConnectionsDoNotKeepOutCallers(t *testing.T) {
 	const limit = 8
-	s := newTestServer(t, limit)
+	s := newTestServer(t, 2<<20, limit)
 	s.held.Add(1)
 	busy := s.send("/hold", 10, 0)
 	s.held.Wait()
 	for n := range 5 * limit {
-		switch conn := s.dial(); n % 2 {
+		switch conn := s.dial(); n % 3 {
 		case 1:
 			_, _ = io.WriteString(conn, "POST / HTTP/1.1\r\nX: ")
+		case 2:
+			_, _ = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\nx")
 		}
 	}
 	status, _ := response(s.send("/", 10, 0))
@@ -34,7 +36,7 @@
 // connections have requests in work.
 func TestConnectionsBeyondRequestsInWork(t *testing.T) {
 	const limit = 4
-	s := newTestServer(t, limit)
+	s := newTestServer(t, 2<<20, limit)
 	s.held.Add(limit)
 	var busy []net.Conn
 	for range limit {
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 )
 
 const (
+	maxBody = 256 << 10
 	// testLimit only ends a test that hangs.
 	testLimit = 20 * time.Second
 )
@@ -23,16 +25,18 @@
 type testServer struct {
 	c        *qt.C
 	address  string
+	budget   *Budget
 	listener *Listener
 	held     sync.WaitGroup
 	release  chan struct{}
+	largest  atomic.Int64 // largest use of the budget seen
 }
 
-func newTestServer(t *testing.T, maxConnections int) *testServer {
+func newTestServer(t *testing.T, memory int64, maxConnections int) *testServer {
 	c := qt.New(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
-	s := &testServer{c: c, address: l.Addr().String(), release: make(chan struct{})}
+	s := &testServer{c: c, address: l.Addr().String(), budget: NewBudget(memory, nil), release: make(chan struct{})}
 	s.listener = NewListener(l.(*net.TCPListener), ListenerOptions{MaxConnections: maxConnections})
 	server := &http.Server{Handler: Handler(http.HandlerFunc(s.serve)), ConnContext: ConnContext, ReadHeaderTimeout: testLimit}
 	go func() { _ = server.Serve(s.listener) }()
@@ -40,12 +44,29 @@
 	return s
 }
 
-func (s *testServer) serve(_ http.ResponseWriter, r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body) // the client may have disconnected
+func (s *testServer) serve(w http.ResponseWriter, r *http.Request) {
+	status, length := http.StatusOK, 0
+	if r.Body != http.NoBody {
+		body := s.budget.Open(w, r, testLimit)
+		defer body.Release()
+		data, err := body.ReadAll(maxBody)
+		length = len(data)
+		if err != nil {
+			status = http.StatusServiceUnavailable
+		}
+		body.Finish(w.Header())
+	}
+	for used := s.budget.Used(); ; {
+		if largest := s.largest.Load(); used <= largest || s.largest.CompareAndSwap(largest, used) {
+			break
+		}
+	}
 	if r.URL.Path == "/hold" {
 		s.held.Done()
 		<-s.release
 	}
+	w.WriteHeader(status)
+	_, _ = fmt.Fprintf(w, "%d", length)
 }
 
 func (s *testServer) dial() net.Conn {
