ingress: messages of other instances have a budget in bytes

What was seen: connections to the peer address that stop within a message of legal size (1 MiB) took more memory than the machine has.

Cause: a drpc connection buffers an unfinished message and keeps its buffers for later messages, whatever other connections hold.

Change: the frames of each connection are followed as they arrive, and the connection is charged for its largest message. The budget is an eighth of memory_mib. If it is exhausted, the connection that has completed no message for longest is closed.

--- a/internal/daemon/ingress.go
+++ b/internal/daemon/ingress.go
@@ -35,6 +35,11 @@
 	bodyMemoryShare = 1.0 / 8
 	// minBodies is how many of the largest bodies, decoded, have room in any case.
 	minBodies = 8
+	// messageMemoryShare is the part of the machine's memory for messages of other
+	// instances.
+	messageMemoryShare = 1.0 / 8
+	// minMessageMemory has room for some of the largest messages.
+	minMessageMemory = 8 << 20
 	// connectionMemoryShare is the part of the machine's memory for the connections of
 	// callers.
 	connectionMemoryShare = 1.0 / 4
@@ -58,7 +63,8 @@
 // ingressLimits are the limits for what others send to an instance.
 type ingressLimits struct {
 	bodies         *ingress.Budget
-	maxConnections map[string]int // by name of the listener
+	messages       *ingress.Budget // of other instances
+	maxConnections map[string]int  // by name of the listener
 	log            *logrus.Entry
 
 	refused *prometheus.CounterVec
@@ -97,6 +103,10 @@
 		l.refused.WithLabelValues(reason).Inc()
 		l.summarize("body: " + reason)
 	})
+	l.messages = ingress.NewBudget(max(int64(memory*messageMemoryShare), minMessageMemory), func(string) {
+		l.evicted.WithLabelValues(peersListener, "memory").Inc()
+		l.summarize(peersListener + " connection: memory")
+	})
 	r.MustRegister(l.refused, l.evicted, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "ingress_body_bytes", Help: "Memory of the bodies of requests in work.",
 	}, func() float64 { return float64(l.bodies.Used()) }))
@@ -114,13 +124,17 @@
 		_ = listener.Close()
 		return nil, errors.Errorf("%s is no TCP address", address)
 	}
-	return ingress.NewListener(tcp, ingress.ListenerOptions{
+	options := ingress.ListenerOptions{
 		MaxConnections: l.maxConnections[name],
 		Evicted: func(reason string) {
 			l.evicted.WithLabelValues(name, reason).Inc()
 			l.summarize(name + " connection: " + reason)
 		},
-	}), nil
+	}
+	if name == peersListener {
+		options.Messages = l.messages
+	}
+	return ingress.NewListener(tcp, options), nil
 }
 
 // newServer returns a server for a listener of listen.
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -21,6 +21,7 @@
 	*net.TCPConn
 	listener *Listener
 	graceful atomic.Bool
+	messages *messageMemory // nil for HTTP
 
 	// Guarded by listener.mu.
 	element *list.Element // in listener.waiting, nil while a request is in work
@@ -59,10 +60,23 @@
 	})
 }
 
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if c.messages != nil {
+		if refused := c.messages.arrived(p[:n]); refused != nil {
+			return 0, refused
+		}
+	}
+	return n, err
+}
+
 // Write implements net.Conn. A client that does not read its response keeps no other one
 // out.
 func (c *conn) Write(p []byte) (int, error) {
-	c.progress()
+	if c.messages == nil {
+		c.progress()
+	}
 	return c.TCPConn.Write(p)
 }
 
@@ -110,7 +124,16 @@
 	c.listener.mu.Lock()
 	c.listener.removeLocked(c)
 	c.listener.mu.Unlock()
-	return c.TCPConn.Close()
+	return c.closeNow()
+}
+
+// closeNow closes a connection that has been removed from the listener.
+func (c *conn) closeNow() error {
+	err := c.TCPConn.Close()
+	if c.messages != nil {
+		c.messages.account.release()
+	}
+	return err
 }
 
 // linger ends the response and reads what the client still sends. A close with unread
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -9,6 +9,9 @@
 // ListenerOptions configures a Listener.
 type ListenerOptions struct {
 	MaxConnections int
+	// Messages limits the memory of the messages on the connections, which speak drpc. Nil
+	// is for HTTP.
+	Messages *Budget
 	// Evicted is called with the reason for each connection that is closed because of
 	// the limit. It must not block; nil ignores them.
 	Evicted func(reason string)
@@ -44,6 +47,9 @@
 			return nil, err
 		}
 		c := &conn{TCPConn: accepted, listener: l}
+		if l.options.Messages != nil {
+			c.messages = newMessageMemory(c, l.options.Messages)
+		}
 		if l.admit(c) {
 			return c, nil
 		}
@@ -79,7 +85,7 @@
 		l.removeLocked(victim)
 		l.mu.Unlock()
 		l.options.Evicted("no progress")
-		_ = victim.TCPConn.Close()
+		_ = victim.closeNow()
 	}
 }
 
