ingress: the headers of a request are limited to 16 KiB and 128 lines

Cause: the limit of the headers was the default of net/http, 1 MB, and it counts bytes only. A parsed line takes many times the memory of a short one.

Change: the new setting max_header_bytes limits the headers on all addresses, to 16 KiB by default (net/http allows 4 KiB more). Their lines are counted as they arrive, before net/http parses them; a request with more than 128 ends with 400, and its connection is half-closed first so that the response is not lost.

--- a/internal/daemon/ingress.go
+++ b/internal/daemon/ingress.go
@@ -26,8 +26,9 @@
 	// metrics.
 	maxProbeConnections = 64
 
-	// defaultMaxFDs applies if the settings don't set the limit.
-	defaultMaxFDs = 4096
+	// defaultMaxFDs and defaultMaxHeaderBytes apply if the settings don't set the limits.
+	defaultMaxFDs         = 4096
+	defaultMaxHeaderBytes = 16 << 10
 	// reservedFDs are the descriptors that are not used for sockets.
 	reservedFDs = 200
 
@@ -65,6 +66,7 @@
 	bodies         *ingress.Budget
 	messages       *ingress.Budget // of other instances
 	maxConnections map[string]int  // by name of the listener
+	maxHeaderBytes int
 	log            *logrus.Entry
 
 	refused *prometheus.CounterVec
@@ -89,7 +91,7 @@
 			readinessListener: maxProbeConnections,
 			metricsListener:   maxProbeConnections,
 		},
-		log: log, notShown: make(map[string]int),
+		maxHeaderBytes: int(s.GetMaxHeaderBytes()), log: log, notShown: make(map[string]int),
 		summary: rate.Sometimes{Interval: refusalSummaryInterval},
 		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "ingress_refused_bodies_total", Help: "Bodies of requests that were not read to their end by reason.",
@@ -98,6 +100,9 @@
 			Name: "ingress_evicted_connections_total", Help: "Connections closed at the limit of open connections by listener and reason.",
 		}, []string{"listener", "reason"}),
 	}
+	if l.maxHeaderBytes <= 0 {
+		l.maxHeaderBytes = defaultMaxHeaderBytes
+	}
 	largest := newRecordLimits(s.GetStore()).record
 	l.bodies = ingress.NewBudget(max(int64(memory*bodyMemoryShare), minBodies*ingress.MemoryOf(int64(largest))), func(reason string) {
 		l.refused.WithLabelValues(reason).Inc()
@@ -141,7 +146,7 @@
 func (l *ingressLimits) newServer(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: ingress.Handler(h), ConnContext: ingress.ConnContext, ReadHeaderTimeout: readHeaderTimeout, WriteTimeout: writeTimeout,
-		IdleTimeout: idleTimeout, ErrorLog: debugLogger(l.log),
+		IdleTimeout: idleTimeout, MaxHeaderBytes: l.maxHeaderBytes, ErrorLog: debugLogger(l.log),
 	}
 }
 
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -22,6 +22,7 @@
 	listener *Listener
 	graceful atomic.Bool
 	messages *messageMemory // nil for HTTP
+	headers  headerLines    // for HTTP
 
 	// Guarded by listener.mu.
 	element *list.Element // in listener.waiting, nil while a request is in work
@@ -50,6 +51,8 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		c.headers.end()
+		defer c.headers.expect()
 		if r.Body == nil || r.Body == http.NoBody {
 			c.protect()
 		} else {
@@ -62,11 +65,15 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.headers.exceeded() {
+		c.closeGracefully()
+		return 0, errTooManyLines
+	}
 	n, err := c.TCPConn.Read(p)
-	if c.messages != nil {
-		if refused := c.messages.arrived(p[:n]); refused != nil {
-			return 0, refused
-		}
+	if c.messages == nil {
+		c.headers.arrived(p[:n])
+	} else if refused := c.messages.arrived(p[:n]); refused != nil {
+		return 0, refused
 	}
 	return n, err
 }
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -47,6 +47,7 @@
 			return nil, err
 		}
 		c := &conn{TCPConn: accepted, listener: l}
+		c.headers.expect()
 		if l.options.Messages != nil {
 			c.messages = newMessageMemory(c, l.options.Messages)
 		}
