daemon: clients that do not read the metrics hold no scrape

What was seen: responses of the metrics address were written while they were made, so clients that do not read them kept any number of scrapes in work, and requests for the metrics or the readiness could last as long as those of callers.

Cause: both addresses had the timeouts of the callers' address, and nothing limited the concurrent scrapes.

Change: at most four scrapes are made at a time, each into a buffer that is written afterwards, when its connection may be closed in favour of a new one. Requests for the metrics and the readiness, and their responses, are limited to 5 s each.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -170,8 +170,11 @@
 	api := i.ingress.newServer(platform.NewHandlerWithBudget(i, i.ingress.bodies))
 	ready := i.ingress.newServer(http.HandlerFunc(i.serveReady))
 	metricsMux := http.NewServeMux()
-	metricsMux.Handle("/metrics", promhttp.HandlerFor(i.registry, promhttp.HandlerOpts{}))
+	metricsMux.Handle("/metrics", bufferResponses(promhttp.HandlerFor(i.registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxMetricsRequests})))
 	metricsServer := i.ingress.newServer(metricsMux)
+	for _, server := range []*http.Server{ready, metricsServer} {
+		server.ReadTimeout, server.WriteTimeout = probeTimeout, probeTimeout
+	}
 	serve := func(s *http.Server, l net.Listener) func() error {
 		return func() error {
 			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/daemon/ingress.go
+++ b/internal/daemon/ingress.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bytes"
 	"net"
 	"net/http"
 	"sync"
@@ -22,6 +23,10 @@
 	// writeTimeout limits the time from the headers of a request to its whole response.
 	// It is longer than a body may take.
 	writeTimeout = 45 * time.Second
+	// probeTimeout limits a request for the readiness or the metrics, and its response.
+	probeTimeout = 5 * time.Second
+	// maxMetricsRequests limits the concurrent requests for metrics.
+	maxMetricsRequests = 4
 	// maxProbeConnections limits the connections for the readiness check, and those for
 	// metrics.
 	maxProbeConnections = 64
@@ -150,6 +155,28 @@
 	}
 }
 
+// bufferResponses serves responses only once next has returned, so that clients that do not
+// read them hold none of the requests that next serves at a time.
+func bufferResponses(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b := &bufferedResponse{header: w.Header(), status: http.StatusOK}
+		next.ServeHTTP(b, r)
+		w.WriteHeader(b.status)
+		_, _ = w.Write(b.body.Bytes()) // the client may have disconnected
+	})
+}
+
+// bufferedResponse is the http.ResponseWriter of bufferResponses.
+type bufferedResponse struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+func (b *bufferedResponse) Header() http.Header         { return b.header }
+func (b *bufferedResponse) WriteHeader(status int)      { b.status = status }
+func (b *bufferedResponse) Write(p []byte) (int, error) { return b.body.Write(p) }
+
 // summarize counts a refusal and logs the counts from time to time.
 func (l *ingressLimits) summarize(what string) {
 	l.mu.Lock()
