--- a/internal/scheduler/simulated_worker_test.go
+++ b/internal/scheduler/simulated_worker_test.go
@@ -6,6 +6,38 @@
 	"time"
 )
 
+// restart restarts a worker: its attempts, ends and token are lost.
+func (sw *simWorker) restart() {
+	sw.sim.log("%s restarts", sw.id)
+	for _, r := range sw.active {
+		sw.sim.attemptEnded(r.attemptID, sw.id, EndUnknown)
+	}
+	sw.incarnation, sw.startedAt, sw.token = sw.incarnation+1+sw.sim.now.UnixMilli(), sw.sim.now, 0
+	sw.active, sw.newestAttempt, sw.ended, sw.next = make(map[AttemptID]*simAttempt), make(map[string]int), nil, 0
+	sw.endedAt = make(map[int64]time.Time)
+	if h := sw.pendingHold; h != nil {
+		core := sw.sim.core
+		sw.sim.after(simStep, func() {
+			if core == sw.sim.core {
+				core.CommandDone(CommandResult{Command: h.command, Err: fmt.Errorf("connection reset")}, sw.sim.now)
+			}
+		})
+	}
+	sw.pendingHold, sw.lease = nil, sw.sim.now
+}
+
+func (sw *simWorker) clock() time.Duration {
+	return time.Duration(float64(sw.sim.now.Sub(sw.startedAt)) * sw.clockRate).Truncate(time.Millisecond)
+}
+
+func (sw *simWorker) extend(lease time.Duration) {
+	left := min(lease-sw.clock(), 6*time.Second)
+	until := sw.sim.now.Add(time.Duration(float64(left) / sw.clockRate))
+	if until.After(sw.lease) {
+		sw.lease = until
+	}
+}
+
 // execute carries out a command.
 func (sw *simWorker) execute(o Command, answer func(CommandResult)) {
 	sw.advance()
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -132,15 +132,8 @@
 // Guards against a restart whose log line doesn't tell which of the waits took the time.
 func TestRestartLogsItsWaits(t *testing.T) {
 	c := qt.New(t)
-	sim := newSimulation(1, 2)
-	sim.taskFor = func(AttemptID) simTask { return simTask{longRunning: true} }
-	s := simStepSpec(1, 1000)
-	s.Lasting = true
-	sim.submit(simJob(1, s))
-	sim.run(5 * time.Second)
-	_, on := sim.longRunningAttempts()
-	c.Assert(on, qt.HasLen, 1)
-	on[0].unreachable = true
+	sim, sw := newLongRunningSimulation(c, 1, 2)
+	sim.darken(sw)
 	sim.run(12 * time.Second)
 	var lines []string
 	for _, line := range sim.trace {
