peer: connections that are closed or evicted release their messages

Four connections with messages of 500 KB kept a call of another instance from being answered for good.

Cause: the reader of a drpc connection that has a message without a call waits for a stream and doesn't read again, so that it notices neither a close nor an eviction. Its goroutines and its message stayed, and the budget waited for it.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -23,6 +23,8 @@
 	graceful atomic.Bool
 	messages *messageMemory // nil for HTTP
 	headers  headerLines    // for HTTP
+	ctx      context.Context
+	cancel   context.CancelFunc
 
 	// Guarded by listener.mu.
 	element *list.Element // in listener.waiting, nil while a request is in work
@@ -134,8 +136,13 @@
 	return c.closeNow()
 }
 
+// Context returns a context that ends when the connection is closed or evicted. Its
+// reader may be waiting for something else than the next read.
+func (c *conn) Context() context.Context { return c.ctx }
+
 // closeNow closes a connection that has been removed from the listener.
 func (c *conn) closeNow() error {
+	c.cancel()
 	err := c.TCPConn.Close()
 	if c.messages != nil {
 		c.messages.account.release()
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"context"
 	"net"
 	"sync"
 )
@@ -47,6 +48,7 @@
 			return nil, err
 		}
 		c := &conn{TCPConn: accepted, listener: l}
+		c.ctx, c.cancel = context.WithCancel(context.Background())
 		c.headers.expect()
 		if l.options.Messages != nil {
 			c.messages = newMessageMemory(c, l.options.Messages)
@@ -55,7 +57,7 @@
 			return c, nil
 		}
 		l.options.Evicted("all in use")
-		_ = accepted.Close()
+		_ = c.closeNow()
 	}
 }
 
--- a/internal/ingress/messages.go
+++ b/internal/ingress/messages.go
@@ -26,6 +26,7 @@
 func newMessageMemory(c *conn, b *Budget) *messageMemory {
 	return &messageMemory{conn: c, account: account{budget: b, stop: func() {
 		_ = c.SetReadDeadline(expired)
+		c.cancel()
 		b.refused("memory")
 	}}}
 }
