ingress: header lines are counted after OPTIONS * as well

Cause: net/http answers this request without the handler, which ends the count of one request and begins that of the next.

Change: the request goes to the handler, which answers that nothing is served there.

--- a/internal/daemon/ingress.go
+++ b/internal/daemon/ingress.go
@@ -152,6 +152,8 @@
 	return &http.Server{
 		Handler: ingress.Handler(h), ConnContext: ingress.ConnContext, ReadHeaderTimeout: readHeaderTimeout, WriteTimeout: writeTimeout,
 		IdleTimeout: idleTimeout, MaxHeaderBytes: l.maxHeaderBytes, ErrorLog: debugLogger(l.log),
+		// net/http would answer without the handler.
+		DisableGeneralOptionsHandler: true,
 	}
 }
 
