--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -60,9 +60,9 @@
 	HoldLeasesBack bool
 }
 
-// earlierLeaseBound returns how long after the takeover an attempt may still run
+// earlierLeaseTime returns how long after the takeover an attempt may still run
 // that an earlier owner started on a worker that doesn't answer.
-func (o Options) earlierLeaseBound() time.Duration {
+func (o Options) earlierLeaseTime() time.Duration {
 	return ownerGrace + o.longestLease()
 }
 
@@ -186,7 +186,7 @@
 // NoEarlierOwner reports whether no earlier owner can still renew leases, either by
 // proof or because the time for which it may act without the store is over.
 func (c *Core) NoEarlierOwner(now time.Time) bool {
-	return c.noEarlierOwner || now.Sub(c.startedAt) > c.opts.earlierLeaseBound()
+	return c.noEarlierOwner || now.Sub(c.startedAt) > c.opts.earlierLeaseTime()
 }
 
 // Fenced reports whether a worker has refused a command because it has seen the
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -222,7 +222,7 @@
 func (c *Core) worker(id string) *worker {
 	w := c.workers[id]
 	if w == nil {
-		w = &worker{id: id, attempts: make(map[AttemptID]*attempt), leaseEnd: c.startedAt.Add(c.opts.earlierLeaseBound())}
+		w = &worker{id: id, attempts: make(map[AttemptID]*attempt), leaseEnd: c.startedAt.Add(c.opts.earlierLeaseTime())}
 		c.workers[id] = w
 		c.addVisits(w)
 	}
