Show that a task of more than 150 s never ends

Found: attempt.stalledFrom takes a task for stalled if its percent stays the same for 1.5 s, whatever its estimate. Each stop counts against the worker too.

--- a/review/_standin4/client.go
+++ b/review/_standin4/client.go
@@ -60,7 +60,7 @@
 	for n := range 8 {
 		i := c.list[rand.IntN(len(c.list))]
 		status, data := c.call(i, http.MethodPost, j.prefix+j.id, body)
-		c.p.logf("POST %s at %s: %d %s", j.id, i.name, status, strings.TrimSpace(string(data)))
+		c.p.logf("POST %s at %s, %d bytes: %d %s", j.id, i.name, len(body), status, strings.TrimSpace(string(data)))
 		if status >= 200 && status < 300 {
 			c.p.mu.Lock()
 			j.acceptedAt = time.Now()
--- a/review/_standin4/main.go
+++ b/review/_standin4/main.go
@@ -21,7 +21,9 @@
 	go p.advance()
 	trouble := os.Getenv("TROUBLE") != "0"
 	p.logf("case %s, trouble %v", os.Args[1], trouble)
-	cases := map[string]func(*platform, string, bool){"advice": adviceCase, "ticket": ticketCase, "away": awayCase, "soak": soak}
+	cases := map[string]func(*platform, string, bool){
+		"long": longCase, "advice": adviceCase, "memory": memoryCase, "ticket": ticketCase, "away": awayCase, "soak": soak,
+	}
 	play := cases[os.Args[1]]
 	if play == nil {
 		fatal("no case %q", os.Args[1])
--- a/review/_standin4/platform.go
+++ b/review/_standin4/platform.go
@@ -136,6 +136,10 @@
 	// onEnd, if not nil, is called for each end.
 	onEnd       func(w *worker, r *run, how string)
 	orderedAway map[int]bool // tasks that an order has ended
+	// bounded puts a server in front of the store that bounds its responses by their bytes.
+	bounded     bool
+	memoryKills int
+	mostMiB     int
 	stopTime    time.Duration
 	alone       int
 }
--- a/review/_standin4/process.go
+++ b/review/_standin4/process.go
@@ -43,7 +43,11 @@
 		fatal("addresses: %v", err)
 	}
 	i := &process{p: p, name: name, zone: zone, settings: filepath.Join(dir, name+".json"), http: addresses[0], ready: addresses[1], endpoint: p.store.Endpoint(), done: make(chan struct{}), down: 300 * time.Millisecond}
-	if i.proxy, err = loopback.New(i.endpoint.Address(), nil); err != nil {
+	upstream := i.endpoint.Address()
+	if p.bounded {
+		upstream = startFront(upstream)
+	}
+	if i.proxy, err = loopback.New(upstream, nil); err != nil {
 		fatal("proxy: %v", err)
 	}
 	// As deploy/settings.json.tmpl renders it for the bounds of pickbook-wa.
@@ -111,6 +115,9 @@
 	_ = i.cmd.Process.Signal(sig)
 }
 
+// kill kills the process because of its memory.
+func (i *process) kill() { i.signal(syscall.SIGKILL) }
+
 func (i *process) close() {
 	i.mu.Lock()
 	i.closed = true
