scheduler: log the state of advice requests

A step on a queue with advice that isn't placed looked the same in the log whether the service didn't answer, answered with an error, granted nothing, or its answer was dropped: `step waits` counted the workers under `label`, errors were not logged, and neither was an answer whose step wasn't found.

`step waits` now has for how long a request has been in flight and counts workers without a ticket apart.

--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -33,7 +33,8 @@
 
 // advice is the state of a step's requests to the advice service.
 type advice struct {
-	inFlight    bool // a request is in flight
+	inFlight    bool      // a request is in flight
+	sentAt      time.Time // when the newest request was made
 	nextRequest time.Time
 	requestedAt map[string]time.Time // by worker id, when it was last part of a request
 	tickets     map[string]ticket    // by worker id
@@ -48,6 +49,19 @@
 	return s.advice != nil && now.Add(ticketMargin).Before(s.advice.tickets[w.id].until)
 }
 
+// adviceFields returns the state of the step's newest request, for the log.
+func (s *step) adviceFields(now time.Time) []any {
+	ad := s.advice
+	if ad == nil {
+		return nil
+	}
+	inFlight := int64(-1)
+	if ad.inFlight {
+		inFlight = now.Sub(ad.sentAt).Milliseconds()
+	}
+	return []any{"advice_in_flight_ms", inFlight, "advice_ms_ago", now.Sub(ad.sentAt).Milliseconds()}
+}
+
 func (s *step) ticketFor(w *worker) string {
 	if s.advice == nil {
 		return ""
@@ -76,7 +90,7 @@
 	if len(names) == 0 {
 		return
 	}
-	ad.inFlight = true
+	ad.inFlight, ad.sentAt = true, p.now
 	p.core.out.AdviceRequests = append(p.core.out.AdviceRequests, AdviceRequest{
 		Job: s.round.job.sub.GetId(), Round: s.round.number, Step: s.index, Workers: names,
 	})
@@ -90,11 +104,14 @@
 	}
 	t := j.taskOf(AttemptID{Job: r.AdviceRequest.Job, Round: r.AdviceRequest.Round, Step: r.AdviceRequest.Step})
 	if t == nil || t.step.advice == nil {
+		c.addLogEntry("advice dropped", j.sub.GetRequestId(), "job", r.AdviceRequest.Job, "round", r.AdviceRequest.Round, "step", r.AdviceRequest.Step)
 		return
 	}
 	ad := t.step.advice
 	ad.inFlight = false
 	if r.Err != nil {
+		c.addLogEntry("advice failed", j.sub.GetRequestId(), "job", r.AdviceRequest.Job, "round", r.AdviceRequest.Round, "step", r.AdviceRequest.Step,
+			"asked", len(r.AdviceRequest.Workers), "took_ms", now.Sub(ad.sentAt).Milliseconds(), "error", r.Err.Error())
 		ad.nextRequest = now.Add(adviceRetry)
 		for _, id := range r.AdviceRequest.Workers {
 			delete(ad.requestedAt, id)
@@ -104,6 +121,7 @@
 	for id, text := range r.Tickets {
 		ad.tickets[id] = ticket{text, now.Add(r.ValidFor)}
 	}
-	c.addLogEntry("advice", j.sub.GetRequestId(), "job", r.AdviceRequest.Job, "step", r.AdviceRequest.Step, "asked", len(r.AdviceRequest.Workers), "granted", len(r.Tickets))
+	c.addLogEntry("advice", j.sub.GetRequestId(), "job", r.AdviceRequest.Job, "round", r.AdviceRequest.Round, "step", r.AdviceRequest.Step,
+		"asked", len(r.AdviceRequest.Workers), "granted", len(r.Tickets), "took_ms", now.Sub(ad.sentAt).Milliseconds())
 	c.planDue = true
 }
--- a/internal/scheduler/feasibility.go
+++ b/internal/scheduler/feasibility.go
@@ -140,14 +140,16 @@
 	return n
 }
 
+// hasLabel reports whether the worker has the label that a step requires.
+func (cand *candidate) hasLabel(s *step) bool {
+	label := s.spec.GetRequiredLabel()
+	return label == "" || slices.Contains(cand.worker.entry.Labels, label)
+}
+
 // allows reports whether the worker has the label and the ticket that a task
 // needs.
 func (cand *candidate) allows(t *task, q *Queue, now time.Time) bool {
-	s := t.step
-	if label := s.spec.GetRequiredLabel(); label != "" && !slices.Contains(cand.worker.entry.Labels, label) {
-		return false
-	}
-	return q.Advice == nil || s.hasTicket(cand.worker, now)
+	return cand.hasLabel(t.step) && (q.Advice == nil || t.step.hasTicket(cand.worker, now))
 }
 
 // feasible reports whether a task may run on the worker once its resources are
@@ -172,8 +174,10 @@
 	switch {
 	case !request.FitsIn(cand.free) || len(cand.worker.list) >= maxWorkerAttempts || cand.core.attempts >= maxAttempts:
 		return refusedRoom
-	case !cand.allows(t, q, now):
+	case !cand.hasLabel(t.step):
 		return refusedLabel
+	case !cand.allows(t, q, now):
+		return refusedTicket
 	case !cand.feasible(t, q, now):
 		return refusedSpread
 	default:
--- a/internal/scheduler/waits.go
+++ b/internal/scheduler/waits.go
@@ -13,7 +13,8 @@
 	accepted          refusal = iota
 	refusedUnusable           // it is silent, quarantined, draining, not adopted or evacuated
 	refusedRoom               // other tasks have requested its resources
-	refusedLabel              // it lacks the label or the ticket
+	refusedLabel              // it lacks the label
+	refusedTicket             // the step has no valid ticket for it
 	refusedSpread             // it runs as many tasks of the step as it may
 	refusedReserved           // it is reserved for a starving or suspect task, or held for a gang
 	refusedGuarded            // a suspect task is on trial there, or its failure domain is being refilled
@@ -25,7 +26,7 @@
 
 // String returns the name of the log field.
 func (r refusal) String() string {
-	return [...]string{"accepted", "unusable", "room", "label", "spread", "reserved", "guarded", "use", "over_target", "rise"}[r]
+	return [...]string{"accepted", "unusable", "room", "label", "ticket", "spread", "reserved", "guarded", "use", "over_target", "rise"}[r]
 }
 
 // WorkClass is a kind of work whose waits are observed apart.
@@ -144,6 +145,7 @@
 		"idle_ms", s.idleFor(p.now).Milliseconds(), "running", j.attempts,
 		"waiting", s.waiting, "unfinished", s.unfinished, "standing", w.standing.String(), "ahead", w.ahead, "cpu_milli", s.size.CPUMilli, "memory_mib", s.size.MemoryMiB,
 		"gang", s.spec.GetGang(), "left_out", p.leftOut[s], "held_back", s.heldBack}
+	fields = append(fields, s.adviceFields(p.now)...)
 	q := p.core.queue(j)
 	if q == nil {
 		p.core.addLogEntry("step waits", j.sub.GetRequestId(), append(fields, "no_queue", true)...)
