scheduler: match results of advice requests by the request

Cause: AdviceDone found the step through its task 0, which is closed once it is done and has no attempt. The result, or the error, of every later request was dropped, and the step's mark that a request is in flight stayed for good.

A result is now matched by the number of its request, and the step is found by its index in the round.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -152,6 +152,7 @@
 	working         *job // see WorkingOn
 	rolesMade       int  // see forgetImages
 	attempts        int  // that may be active
+	adviceRequests  int64
 	out             Output
 	disabled        disabledRules
 }
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -230,9 +230,18 @@
 
 // taskOf returns the open task of an attempt, nil if there is none.
 func (j *job) taskOf(id AttemptID) *task {
-	r := j.roundByNumber(id.Round)
-	if r == nil || id.Step < 0 || id.Step >= len(r.steps) {
+	s := j.stepByNumber(id.Round, id.Step)
+	if s == nil {
 		return nil
 	}
-	return r.steps[id.Step].taskByIndex(id.Task)
+	return s.taskByIndex(id.Task)
+}
+
+// stepByNumber returns a step of an open round, nil if there is none.
+func (j *job) stepByNumber(round, index int) *step {
+	r := j.roundByNumber(round)
+	if r == nil || index < 0 || index >= len(r.steps) {
+		return nil
+	}
+	return r.steps[index]
 }
--- a/internal/scheduler/queues_test.go
+++ b/internal/scheduler/queues_test.go
@@ -11,21 +11,6 @@
 	"gooseberryreel/internal/pb"
 )
 
-// answerAdvice grants the requested workers to a step.
-func (sim *simulation) answerAdvice(requests []AdviceRequest) {
-	for _, r := range requests {
-		core, result := sim.core, AdviceResult{AdviceRequest: r, ValidFor: 2 * time.Second, Tickets: make(map[string]string)}
-		for _, id := range r.Workers {
-			result.Tickets[id] = "ticket"
-		}
-		sim.after(simStep, func() {
-			if core == sim.core {
-				core.AdviceDone(result, sim.now)
-			}
-		})
-	}
-}
-
 // Guards against jobs of a removed queue that never run, that run on workers of another
 // pool, or that are placed without the tickets that their queue needs.
 func TestRemovedQueueKeepsItsPolicy(t *testing.T) {
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -77,7 +77,9 @@
 	// faultOf, if not nil, replaces the random faults.
 	faultOf func(Command) simFault
 	// refuse, if not nil, returns why a worker refuses a command.
-	refuse   func(Command) Refusal
+	refuse func(Command) Refusal
+	// advise, if not nil, replaces the answer of the advice service, nil for none.
+	advise   func(AdviceResult) *AdviceResult
 	coreTime time.Duration // processor time of the core
 }
 
