scheduler: tickets belong to one life of a worker

Cause: a ticket is valid for one life of a worker, and the core knew it by the worker's id and its expiry. It sent the ticket of the former life again after each refusal, and requested no other one while that seemed valid.

What the advice service says of a worker now belongs to the worker's process. A refused ticket is dropped, and a placed start is withheld if its ticket has expired or its worker has restarted since.

--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -45,17 +45,30 @@
 	inFlight    *AdviceRequest // nil if there is none
 	sentAt      time.Time      // when the newest request was made
 	nextRequest time.Time
-	requestedAt map[string]time.Time // by worker id, when it was last part of a request
-	tickets     map[string]ticket    // by worker id
+	workers     map[string]*workerAdvice // by worker id
 }
 
-type ticket struct {
-	text  string
-	until time.Time
+// workerAdvice is the advice on a worker in one life: its ticket is valid for no other.
+type workerAdvice struct {
+	incarnation int64
+	requestedAt time.Time // when it was last part of a request
+	ticket      string    // empty if it was not granted, or there is no result yet
+	until       time.Time // expiry of the ticket
+}
+
+// adviceOn returns the advice on a worker in its present life, nil if there is none.
+func (s *step) adviceOn(w *worker) *workerAdvice {
+	if s.advice == nil {
+		return nil
+	}
+	if wa := s.advice.workers[w.id]; wa != nil && wa.incarnation == w.incarnation {
+		return wa
+	}
+	return nil
 }
 
 func (s *step) hasTicket(w *worker, now time.Time) bool {
-	return s.advice != nil && now.Add(ticketMargin).Before(s.advice.tickets[w.id].until)
+	return s.ticketFor(w, now.Add(ticketMargin)) != ""
 }
 
 // adviceFields returns the state of the step's newest request, for the log.
@@ -71,17 +84,32 @@
 	return []any{"advice_in_flight_ms", inFlight, "advice_ms_ago", now.Sub(ad.sentAt).Milliseconds()}
 }
 
-func (s *step) ticketFor(w *worker) string {
-	if s.advice == nil {
-		return ""
+// ticketFor returns the ticket for a worker that is valid at a time, empty if there is none.
+func (s *step) ticketFor(w *worker, at time.Time) string {
+	if wa := s.adviceOn(w); wa != nil && at.Before(wa.until) {
+		return wa.ticket
 	}
-	return s.advice.tickets[w.id].text
+	return ""
+}
+
+// dropTicket drops a ticket that a worker has refused.
+func (s *step) dropTicket(w *worker, ticket string) {
+	if wa := s.adviceOn(w); wa != nil && wa.ticket == ticket {
+		delete(s.advice.workers, w.id)
+	}
+}
+
+// mayRequest reports whether a worker without a ticket may be part of a request. A worker
+// that was not granted is not asked for again within the validity of a ticket.
+func (s *step) mayRequest(w *worker, validFor time.Duration, now time.Time) bool {
+	wa := s.adviceOn(w)
+	return wa == nil || wa.ticket != "" || now.Sub(wa.requestedAt) > validFor
 }
 
 // requestAdvice requests tickets for a step that has tasks left to place.
 func (p *pass) requestAdvice(s *step, candidates []*candidate, q *Queue) {
 	if s.advice == nil {
-		s.advice = &advice{requestedAt: make(map[string]time.Time), tickets: make(map[string]ticket)}
+		s.advice = &advice{workers: make(map[string]*workerAdvice)}
 	}
 	ad := s.advice
 	if ad.inFlight != nil && p.now.Sub(ad.sentAt) >= adviceOverdue {
@@ -92,11 +120,10 @@
 	}
 	var names []string
 	for _, cand := range candidates {
-		id := cand.worker.id
-		again := p.now.Sub(ad.requestedAt[id]) > q.Advice.ValidFor
-		if again && !s.hasTicket(cand.worker, p.now) && s.size.FitsIn(cand.worker.entry.Capacity) && len(names) < adviceMaxWorkers {
-			names = append(names, id)
-			ad.requestedAt[id] = p.now
+		w := cand.worker
+		if len(names) < adviceMaxWorkers && !s.hasTicket(w, p.now) && s.mayRequest(w, q.Advice.ValidFor, p.now) && s.size.FitsIn(w.entry.Capacity) {
+			names = append(names, w.id)
+			ad.workers[w.id] = &workerAdvice{incarnation: w.incarnation, requestedAt: p.now}
 		}
 	}
 	if len(names) == 0 {
@@ -128,8 +155,10 @@
 	}
 	ad := s.advice
 	ad.inFlight = nil
-	for id, text := range r.Tickets {
-		ad.tickets[id] = ticket{text, now.Add(r.ValidFor)}
+	for _, id := range request.Workers {
+		if wa := ad.workers[id]; wa != nil {
+			wa.ticket, wa.until = r.Tickets[id], now.Add(r.ValidFor)
+		}
 	}
 	c.addLogEntry("advice", j.sub.GetRequestId(), "job", request.Job, "round", request.Round, "step", request.Step,
 		"asked", len(request.Workers), "granted", len(r.Tickets), "took_ms", now.Sub(ad.sentAt).Milliseconds())
@@ -144,6 +173,6 @@
 		"asked", len(request.Workers), "took_ms", now.Sub(ad.sentAt).Milliseconds(), "error", err.Error())
 	ad.inFlight, ad.nextRequest = nil, now.Add(adviceRetry)
 	for _, id := range request.Workers {
-		delete(ad.requestedAt, id)
+		delete(ad.workers, id)
 	}
 }
--- a/internal/scheduler/advice_test.go
+++ b/internal/scheduler/advice_test.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -131,3 +133,54 @@
 		}
 	}
 }
+
+// Guards against long-running tasks on a queue with advice that don't run again once their
+// workers have restarted under their ids: the tickets of a former life are refused, and no
+// others are requested before these would have expired.
+func TestTicketsOfFormerLifeAreNotUsed(t *testing.T) {
+	const validFor = 20 * time.Second
+	for _, entryLate := range []bool{false, true} {
+		c := qt.New(t)
+		sim := newSimulation(1, 6)
+		sim.taskFor = func(AttemptID) simTask { return simTask{longRunning: true} }
+		allowed := sim.workers[:2]
+		ticketOf := func(w *simWorker) string { return fmt.Sprint("ticket of ", w.incarnation) }
+		sim.advise = func(r AdviceResult) *AdviceResult {
+			r.ValidFor, r.Tickets = validFor, make(map[string]string)
+			for _, w := range allowed {
+				if slices.Contains(r.AdviceRequest.Workers, w.id) {
+					r.Tickets[w.id] = ticketOf(w)
+				}
+			}
+			return &r
+		}
+		refused := 0
+		sim.refuse = func(o Command) Refusal {
+			if o.Kind == CommandStart && o.Ticket != ticketOf(sim.byAddress[o.Address]) {
+				refused++
+				return RefusedTicket
+			}
+			return RefusedNone
+		}
+		spec := simStepSpec(2, 1000)
+		spec.Lasting = true
+		sub := advisedJob(1, spec)
+		sub.TicketValidMs = validFor.Milliseconds()
+		sim.submit(sub)
+		sim.run(5 * time.Second)
+		c.Assert(sim.starts, qt.Equals, 2)
+		for _, w := range allowed {
+			w.restart()
+			enter := func() { sim.core.SetWorker(w.entry(), sim.now) }
+			if entryLate {
+				sim.after(time.Second, enter)
+			} else {
+				enter()
+			}
+		}
+		sim.run(3 * time.Second)
+		c.Check(sim.starts, qt.Equals, 4, qt.Commentf("entry late %v", entryLate))
+		c.Check(refused <= 2, qt.IsTrue, qt.Commentf("%d starts refused", refused))
+		c.Check(sim.violations, qt.HasLen, 0)
+	}
+}
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -89,13 +89,13 @@
 	a.limited = true
 	c.out.Commands = append(c.out.Commands, Command{
 		Kind: CommandStart, Worker: w.id, Address: w.entry.Address, Domain: w.entry.Zone, Token: c.opts.Epoch, AttemptID: a.attemptID, Lease: lease,
-		Payload: a.job().sub.GetPayload(), Checkpoint: checkpoint, Ticket: s.ticketFor(w), SentAt: now,
+		Payload: a.job().sub.GetPayload(), Checkpoint: checkpoint, Ticket: s.ticketFor(w, now), SentAt: now,
 	})
 }
 
 // maySend reports whether the start of a placed attempt may still be sent.
 func (c *Core) maySend(a *attempt, now time.Time) bool {
-	return a.stopReason == "" && !c.opts.HoldLeasesBack && a.job().active() && c.mayStartOn(a.worker, now) && c.suits(a.step(), a.worker)
+	return a.stopReason == "" && !c.opts.HoldLeasesBack && a.job().active() && c.mayStartOn(a.worker, now) && c.suits(a.step(), a.worker, now)
 }
 
 // mayStartOn reports whether the start of a placed attempt may be sent to a worker.
@@ -103,12 +103,14 @@
 	return w.usable(now) && !c.evacuated(w) && w.used.FitsIn(w.entry.Capacity) && c.entriesCurrent(now) && c.requestsCurrent(now)
 }
 
-// suits reports whether a worker has the label that a step requires and belongs to the pool
-// of its queue. It may have come back as another kind since a task was placed there.
-func (c *Core) suits(s *step, w *worker) bool {
+// suits reports whether a worker has the label that a step requires, belongs to the pool of
+// its queue, and has a valid ticket if it needs one. It may have come back as another kind or
+// in a new life since a task was placed there.
+func (c *Core) suits(s *step, w *worker, now time.Time) bool {
 	label := s.spec.GetRequiredLabel()
 	q := c.queue(s.round.job)
-	return (label == "" || slices.Contains(w.entry.Labels, label)) && q != nil && q.Pool == w.entry.Pool
+	return (label == "" || slices.Contains(w.entry.Labels, label)) && q != nil && q.Pool == w.entry.Pool &&
+		(q.Advice == nil || s.ticketFor(w, now) != "")
 }
 
 // checkpointFor returns the checkpoint from which a task starts. All tasks of a
@@ -222,6 +224,9 @@
 		if r.Refused == RefusedWrongWorker {
 			c.RemoveWorker(w.id, now)
 		}
+		if r.Refused == RefusedTicket {
+			a.step().dropTicket(w, r.Command.Ticket)
+		}
 		a.task.avoid = w.id
 		a.task.limitedStarts--
 		c.endAttempt(a, EndStopped, "", now)
