scheduler: a long task is not stalled within one percent of it

Cause: a task whose percent stays the same for 1.5 s was taken for stalled, whatever its estimate. One percent of a task of 150 s takes that long.

A task may now be without progress for 5 % of its estimate, for 1.5 s at least, and for twice as long after each attempt that was stopped for it, since estimates are rough. Only the first such stop counts against a worker.

--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -106,6 +106,7 @@
 	// waits, zero if an attempt has ended since.
 	waitedBefore time.Duration
 	evictions    int // by relieve, see maxEvictions
+	stalls       int // attempts that were stopped since they made no progress
 	near         nearWait
 	copied       bool // a second attempt was started beside another
 }
--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -15,10 +15,15 @@
 	// stayPercent is the progress from which a task stays on a draining worker,
 	// which continues to run for seconds.
 	stayPercent = 50
-	// stallTime is for how long answers of a worker may show a task without progress at full
-	// speed; at half of it, twice as long. Progress is reported in percent, and one percent
-	// of a long task takes a tenth of a second.
+	// stallTime is for how long at least answers of a worker may show a task without progress
+	// at full speed; at half of it, twice as long.
 	stallTime = 1500 * time.Millisecond
+	// stallPercent is the share of a task's estimated duration that replaces stallTime if it
+	// is longer. Progress is reported in whole percent.
+	stallPercent = 5
+	maxStallTime = time.Hour
+	// maxStallDoublings limits the growth of the time for a task whose estimate is too low.
+	maxStallDoublings = 8
 	// longRunningStartTime is how long a long-running task may take to start
 	// serving.
 	longRunningStartTime = 3 * time.Second
@@ -69,28 +74,39 @@
 		}
 		return from, a.progress < 100
 	default:
+		may := a.task.stallTime()
+		from = a.progressAt.Add(may)
 		if a.speedSetAt.After(a.progressAt) {
-			from = a.speedSetAt.Add(stallTime)
+			from = a.speedSetAt.Add(may)
 		}
 		if a.speed > 0 {
-			from = from.Add(stallTime * time.Duration(100-a.speed) / time.Duration(a.speed))
+			from = from.Add(may * time.Duration(100-a.speed) / time.Duration(a.speed))
 		}
 		return from, a.speed > 0 && a.confirmedSpeed == a.speed
 	}
 }
 
+// stallTime returns for how long a task may make no progress at full speed. It is doubled
+// with each attempt that was stopped for it: the estimate may be too low.
+func (t *task) stallTime() time.Duration {
+	estimate := time.Duration(t.step.spec.GetEstimateMs()) * time.Millisecond
+	return min(max(stallTime, estimate/100*stallPercent), maxStallTime) << min(t.stalls, maxStallDoublings)
+}
+
 // replaceStalled stops an attempt that is stalled, so that it is restarted elsewhere, and
-// counts it against the health of its worker.
+// counts it against the health of its worker unless the task has stalled before, so that
+// it may be the cause.
 func (c *Core) replaceStalled(a *attempt, now time.Time) {
 	w := a.worker
 	if !w.silentSince.IsZero() || !a.stalled(now) {
 		return
 	}
 	c.addLogEntry("attempt stalled", a.job().sub.GetRequestId(), "run", a.attemptID.String(), "worker", w.id, "progress", a.progress,
-		"still_ms", now.Sub(a.progressAt).Milliseconds())
+		"still_ms", now.Sub(a.progressAt).Milliseconds(), "stalls", a.task.stalls)
 	a.task.avoid = w.id
-	if !a.step().filler() {
+	if !a.step().filler() && a.task.stalls == 0 {
 		c.countAgainst(w, quarantineStalls, now)
 	}
+	a.task.stalls++
 	c.stop(a, "it makes no progress", now)
 }
