daemon: a test of an owner that is lost right after its claim

Callers see long-running tasks without a run for 19 s if the owner that takes over from a lost one is lost itself before it has named witnesses: the next owner waits for as long as it may act without the store, and for a lease.

No change of the product: to grant no lease before the witnesses are stored was tried and let the leases of living workers lapse (docs/decisions/witnesses.md).

--- a/internal/daemon/lost_worker_test.go
+++ b/internal/daemon/lost_worker_test.go
@@ -198,6 +198,22 @@
 	l.checkRestarts()
 }
 
+// Guards against an owner that is lost right after its claim, before it has named witnesses,
+// and that is waited for as if it had renewed leases.
+func TestOwnerLostAfterItsClaimDelaysNoRestart(t *testing.T) {
+	t.Parallel()
+	l := newLostWorker(t, 5, loopback.Reset, loopback.Refuse)
+	first := l.killOwner()
+	var second *process
+	l.eventually("the next owner", func() bool {
+		second = l.listedOwner()
+		return second != nil && second != first
+	})
+	l.disturbedAt = time.Now()
+	l.kill(second)
+	l.checkRestarts()
+}
+
 // Guards against calls to a lost worker that are reset, not refused, and count as renewals
 // of its lease for too long.
 func TestResetCallsToLostWorkerDelayNoRestart(t *testing.T) {
