scheduler: count earlier leases from the permission where entries are read late

Cause: a new owner has the proof within some milliseconds, before it has read the workers' entries. A worker without a known entry may have restarted, so that the whole time was waited for, and the entry changed nothing later.

The end of the earlier leases is now computed again when the entry of a worker that has not answered arrives.

TestRestartedWorkerHasWholeLease has entries that arrive after the proof: the case of a worker that has not restarted fails without the change.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -95,9 +95,8 @@
 	started   bool      // Start was called
 	// noEarlierOwner is set once no earlier owner can send commands any more.
 	noEarlierOwner bool
-	confirmedAt    time.Time // when it was set
-	// earlierStopped is when the earlier owners had stopped acting, see ConfirmNoEarlierOwner.
-	earlierStopped time.Time
+	confirmedAt    time.Time      // when it was set
+	earlier        []EarlierOwner // see ConfirmNoEarlierOwner
 	// permittedAt is the time from which leases are counted, zero for the time at which they
 	// are granted.
 	permittedAt time.Time
--- a/internal/scheduler/lease_bounds.go
+++ b/internal/scheduler/lease_bounds.go
@@ -108,7 +108,7 @@
 // each had stopped at the latest. What they have started on a worker that doesn't answer
 // runs until the leases have expired that they may have granted.
 func (c *Core) ConfirmNoEarlierOwner(earlier []EarlierOwner, now time.Time) {
-	c.noEarlierOwner, c.confirmedAt = true, now
+	c.noEarlierOwner, c.confirmedAt, c.earlier = true, now, earlier
 	var stopped, unbounded time.Time
 	for n := range earlier {
 		if at := earlier[n].StoppedAt; at.After(stopped) {
@@ -118,42 +118,32 @@
 			unbounded = at
 		}
 	}
-	c.earlierStopped = stopped
 	bounded := 0
 	for _, w := range c.workerList {
 		if w.adopted {
 			continue
 		}
-		var end time.Time
-		for n := range earlier {
-			if at := earlier[n].leaseEnds(w.id, c.opts.longestLease(), w.restartedSincePlaced()); at.After(end) {
-				end = at
-			}
-		}
-		if end.Before(unbounded) {
+		w.limitLease(c.earlierLeaseEnd(w))
+		if w.leaseEnd.Before(unbounded) {
 			bounded++
 		}
-		w.limitLease(end)
 		c.visitSoon(w)
 	}
 	c.addLogEntry("no earlier owner", "", "epoch", c.opts.Epoch, "stopped_ms_ago", now.Sub(stopped).Milliseconds(),
 		"leases_end_in_ms", unbounded.Sub(now).Milliseconds(), "bounded_workers", bounded)
 }
 
-// restartedSincePlaced reports whether the entry of a worker comes from another process than
-// an attempt of an earlier owner was placed on.
-func (w *worker) restartedSincePlaced() bool {
-	return slices.ContainsFunc(w.list, func(a *attempt) bool {
-		return a.restored && a.incarnation != w.entry.Incarnation
-	})
-}
-
-// extendLease extends the lease of a worker that has not answered and turns out to have
-// restarted, see EarlierOwner.leaseEnds.
-func (c *Core) extendLease(w *worker) {
-	if end := c.earlierStopped.Add(c.opts.longestLease()); c.noEarlierOwner && end.After(w.leaseEnd) {
-		w.leaseEnd = end
+// earlierLeaseEnd returns when the leases have expired that the earlier owners have granted
+// on a worker that has not answered this one. While its entry is not known, or if that comes
+// from another process than an attempt was placed on, it may have restarted.
+func (c *Core) earlierLeaseEnd(w *worker) (end time.Time) {
+	restarted := w.entry.Incarnation == 0 || slices.ContainsFunc(w.list, func(a *attempt) bool { return a.restored && a.incarnation != w.entry.Incarnation })
+	for n := range c.earlier {
+		if at := c.earlier[n].leaseEnds(w.id, c.opts.longestLease(), restarted); at.After(end) {
+			end = at
+		}
 	}
+	return end
 }
 
 // limitLease lowers the time at which what runs on a worker has expired.
--- a/internal/scheduler/lease_bounds_test.go
+++ b/internal/scheduler/lease_bounds_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -215,10 +216,11 @@
 }
 
 // Guards against a worker that has restarted, whose leases are counted from the permission of
-// the earlier owner: its clock has started anew, so that it grants the longest lease.
+// the earlier owner: its clock has started anew, so that it grants the longest lease. And
+// against one that has not, and is waited for as if it had since its entry is read late.
 func TestRestartedWorkerHasWholeLease(t *testing.T) {
 	c := qt.New(t)
-	for _, restarts := range []string{"never", "before the proof", "after the proof"} {
+	for _, restarts := range []string{"never", "before the proof", "after the proof", "never, entry after the proof", "before the proof, entry after it"} {
 		sim, sw := newLongRunningSimulation(c, 1, 3)
 		sim.grantAge = 1200 * time.Millisecond
 		sim.run(3 * time.Second)
@@ -228,6 +230,8 @@
 		permitted = sim.permittedAt
 		sim.darken(sw)
 		sim.confirmAfter = 0
+		entryLate := strings.Contains(restarts, "entry after")
+		sw.listed = !entryLate
 		sim.ownerDown(500 * time.Millisecond)
 		earlier := sim.earlierOwners
 		entry.Incarnation++
@@ -235,12 +239,12 @@
 			sim.core.SetWorker(entry, sim.now)
 		}
 		sim.core.ConfirmNoEarlierOwner(earlier, sim.now)
-		if restarts == "after the proof" {
-			sim.core.SetWorker(entry, sim.now)
-		}
 		want := stopped
-		if restarts == "never" {
-			want = permitted
+		if strings.HasPrefix(restarts, "never") {
+			want, entry = permitted, sw.entry()
+		}
+		if entryLate || restarts == "after the proof" {
+			sim.core.SetWorker(entry, sim.now)
 		}
 		c.Check(sim.core.workers[sw.id].leaseEnd, qt.Equals, want.Add(sim.core.opts.longestLease()), qt.Commentf("%s", restarts))
 	}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -195,11 +195,11 @@
 		// own answer shows which.
 		w.clockUnknown = true
 	}
-	if w.listed && !w.adopted && e.Incarnation != w.entry.Incarnation {
-		c.extendLease(w)
-	}
-	leaves := e.Draining && !w.entry.Draining
+	leaves, otherProcess := e.Draining && !w.entry.Draining, e.Incarnation != w.entry.Incarnation
 	w.entry, w.listed, w.changed = e, true, true
+	if otherProcess && !w.adopted && c.noEarlierOwner {
+		w.leaseEnd = c.earlierLeaseEnd(w)
+	}
 	c.visitSoon(w)
 	if leaves && !c.disabled.skipEvacuation {
 		c.evacuate(w, now)
