--- a/internal/daemon/lost_owner_test.go
+++ b/internal/daemon/lost_owner_test.go
@@ -185,7 +185,7 @@
 // for the leases of the earlier owner must leave it time to place, record and start them.
 func TestLostOwnersAndWorkersDelayNoRestartOfSlowOwner(t *testing.T) {
 	// The medians with 0.03 of a processor and workers that take 0.3 s for an answer.
-	slow := slowOwner{pass: 500 * time.Millisecond, append: 500 * time.Millisecond, start: 700 * time.Millisecond}
+	slow := slowOwner{pass: 500 * time.Millisecond, append: 600 * time.Millisecond, start: 700 * time.Millisecond}
 	for _, l := range lostOwners {
 		t.Run(l.name, func(t *testing.T) {
 			longest, takesOver := l.longestRestart(t, slow)
